--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+# Sets up one virtual environment from pinned requirements and runs every check in it.
+
+PYTHON ?= python3.11
+VENV ?= .venv
+BIN = $(VENV)/bin
+MEMBERS = $(wildcard packages/*) standins
+CODE = packages standins features
+
+.PHONY: setup lint format test demo clean
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.txt pyproject.toml $(addsuffix /pyproject.toml,$(MEMBERS))
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet -r requirements.txt
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation $(foreach member,$(MEMBERS),-e ./$(member))
+	touch $@
+
+lint: setup
+	$(BIN)/black --quiet --check $(CODE)
+	$(BIN)/ruff check --quiet $(CODE)
+	$(BIN)/mypy $(foreach member,$(MEMBERS),$(member)/src)
+
+format: setup
+	$(BIN)/ruff check --quiet --fix $(CODE)
+	$(BIN)/black --quiet $(CODE)
+
+test: setup
+	$(BIN)/python features/run.py
+
+demo: setup
+	$(BIN)/python -m fireflybridge_standins.demo
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/packages/claims/src/fireflybridge_claims/__init__.py
@@ -0,0 +1,1 @@
+"""Rules and registrar that let each submission start once."""
--- /dev/null
+++ b/packages/cli/src/fireflybridge_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The fireflybridge command-line tool."""
--- /dev/null
+++ b/packages/daemon/src/fireflybridge_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The fireflybridge daemon: settings, start-up checks and composition root."""
--- /dev/null
+++ b/packages/dispatch/src/fireflybridge_dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Dispatch policy: queue order, admission, limits and ejection."""
--- /dev/null
+++ b/packages/front/src/fireflybridge_front/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP API for callers and the operators' port."""
--- /dev/null
+++ b/packages/membership/src/fireflybridge_membership/__init__.py
@@ -0,0 +1,1 @@
+"""Live daemons, and the owners of upstreams and claim shards."""
--- /dev/null
+++ b/packages/peers/src/fireflybridge_peers/__init__.py
@@ -0,0 +1,1 @@
+"""Authenticated message links between daemons."""
--- /dev/null
+++ b/packages/telemetry/src/fireflybridge_telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Numbered log events, metrics and trace spans."""
