Add the upstream connection and the worker stand-in

Cause: the path needs its last hop. Change: one h11 connection per slot that classifies each failure as not run or may have run, and workers that record every start and misbehave on request.

--- /dev/null
+++ b/packages/upstream/src/fireflybridge_upstream/_connection.py
@@ -0,0 +1,172 @@
+"""One persistent HTTP/1.1 connection to an upstream, used for one request at a time."""
+
+import select
+import time
+from dataclasses import dataclass
+
+import anyio
+import h11
+from anyio.abc import SocketAttribute, SocketStream
+
+from fireflybridge_core import Cause, Done, MayHaveRun, NotRun, Outcome, Task
+
+CONNECT_TIMEOUT_S = 1.0
+RECEIVE_BYTES = 65536
+MAX_RESPONSE_BYTES = 1024 * 1024
+HTTP_TOO_MANY_REQUESTS = 429
+HTTP_SERVICE_UNAVAILABLE = 503
+
+
+@dataclass(frozen=True, slots=True)
+class Response:
+    """Hold a complete response: status code, content type, body and guard marker."""
+
+    status: int
+    content_type: str
+    retry_after: bool
+    body: bytes
+
+
+class ResponseTooLargeError(Exception):
+    """Signal that a response body exceeds ``MAX_RESPONSE_BYTES``."""
+
+
+class UpstreamConnection:
+    """Send tasks to one upstream address, one at a time, over a kept connection.
+
+    The connection is opened on first use and after any doubt about its state, so that a late
+    answer to an abandoned request is never read as the answer to another one.
+    """
+
+    def __init__(self, name: str, address: str, *, guards: bool) -> None:
+        self._name = name
+        self._host, _, port = address.rpartition(":")
+        self._port = int(port)
+        self._authority = address.encode()
+        self._guards = guards
+        self._stream: SocketStream | None = None
+        self._http = h11.Connection(our_role=h11.CLIENT)
+
+    async def exchange(self, task: Task) -> Outcome:
+        """Send a task and return its outcome within the task's timeout in seconds."""
+        limit_s = min(task.timeout_s, task.deadline - time.monotonic())
+        if limit_s <= 0:
+            return NotRun(Cause.DEADLINE_PASSED, self._name)
+        connected = await self._connect(min(limit_s, CONNECT_TIMEOUT_S))
+        if connected is None:
+            return NotRun(Cause.CONNECT_FAILED, self._name)
+        # Connecting takes time, and a paused process resumes here with an old limit.
+        limit_s = min(task.timeout_s, task.deadline - time.monotonic())
+        if limit_s <= 0:
+            return NotRun(Cause.DEADLINE_PASSED, self._name)
+        return await self._exchange_on(connected, task, limit_s)
+
+    async def _exchange_on(self, stream: SocketStream, task: Task, limit_s: float) -> Outcome:
+        started = time.monotonic()
+        finished = False
+        try:
+            with anyio.move_on_after(limit_s):
+                await stream.send(self._encode(task, limit_s))
+                response = await self._receive(stream)
+                finished = True
+                return self._judge(response, time.monotonic() - started)
+            return MayHaveRun(Cause.TIMED_OUT, self._name)
+        except (anyio.BrokenResourceError, anyio.EndOfStream, OSError):
+            return MayHaveRun(Cause.CONNECTION_BROKEN, self._name)
+        except (h11.RemoteProtocolError, ResponseTooLargeError):
+            return MayHaveRun(Cause.CONNECTION_BROKEN, self._name)
+        finally:
+            if not finished or not self._reset_cycle():
+                await self.close()
+
+    async def close(self) -> None:
+        """Close the connection at once; the next task opens a new one."""
+        stream, self._stream = self._stream, None
+        if stream is not None:
+            with anyio.CancelScope(shield=True):
+                await anyio.aclose_forcefully(stream)
+
+    async def _connect(self, limit_s: float) -> SocketStream | None:
+        if self._stream is not None:
+            if not _is_readable(self._stream):
+                return self._stream
+            # Bytes or an end of stream before any request: the upstream gave the connection up.
+            await self.close()
+        try:
+            with anyio.fail_after(limit_s):
+                self._stream = await anyio.connect_tcp(self._host, self._port)
+        except (OSError, TimeoutError):
+            return None
+        self._http = h11.Connection(our_role=h11.CLIENT)
+        return self._stream
+
+    def _encode(self, task: Task, limit_s: float) -> bytes:
+        headers = [
+            (b"Host", self._authority),
+            (b"Content-Type", task.content_type.encode()),
+            (b"Content-Length", b"%d" % len(task.body)),
+            (b"Fireflybridge-Timeout-Ms", b"%d" % (limit_s * 1000)),
+        ]
+        if task.id.key:
+            headers.append((b"Idempotency-Key", str(task.id).encode()))
+        if task.traceparent:
+            headers.append((b"Traceparent", task.traceparent.encode()))
+        request = h11.Request(method=b"POST", target=task.path.encode(), headers=headers)
+        parts = (request, h11.Data(data=task.body), h11.EndOfMessage())
+        return b"".join(self._http.send(part) or b"" for part in parts)
+
+    async def _receive(self, stream: SocketStream) -> Response:
+        head: h11.Response | None = None
+        chunks: list[bytes] = []
+        size = 0
+        while True:
+            match self._http.next_event():
+                case h11.NEED_DATA:
+                    self._http.receive_data(await _receive_some(stream))
+                case h11.Response() as head:
+                    pass
+                case h11.Data(data=data):
+                    chunks.append(bytes(data))
+                    size += len(data)
+                    if size > MAX_RESPONSE_BYTES:
+                        raise ResponseTooLargeError
+                case h11.EndOfMessage() if head is not None:
+                    return _assemble(head, b"".join(chunks))
+                case h11.InformationalResponse():
+                    pass
+                case _:
+                    raise anyio.EndOfStream
+
+    def _judge(self, response: Response, run_s: float) -> Outcome:
+        refused = response.status == HTTP_TOO_MANY_REQUESTS or (
+            response.status == HTTP_SERVICE_UNAVAILABLE and response.retry_after
+        )
+        if refused and self._guards:
+            return NotRun(Cause.GUARD_REFUSED, self._name)
+        return Done(response.status, response.content_type, response.body, self._name, run_s)
+
+    def _reset_cycle(self) -> bool:
+        try:
+            self._http.start_next_cycle()
+        except h11.LocalProtocolError:
+            return False
+        return not self._http.trailing_data[0]
+
+
+def _assemble(head: h11.Response, body: bytes) -> Response:
+    headers = dict(head.headers)
+    content_type = headers.get(b"content-type", b"application/octet-stream").decode("latin-1")
+    return Response(head.status_code, content_type, b"retry-after" in headers, body)
+
+
+async def _receive_some(stream: SocketStream) -> bytes:
+    try:
+        return await stream.receive(RECEIVE_BYTES)
+    except anyio.EndOfStream:
+        return b""
+
+
+def _is_readable(stream: SocketStream) -> bool:
+    poller = select.poll()
+    poller.register(stream.extra(SocketAttribute.raw_socket).fileno(), select.POLLIN)
+    return bool(poller.poll(0))
--- /dev/null
+++ b/standins/src/fireflybridge_standins/control.py
@@ -0,0 +1,52 @@
+"""Small JSON control ports for stand-ins, served by hypercorn."""
+
+import json
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+from anyio.abc import TaskStatus
+from hypercorn.asyncio import serve
+from hypercorn.config import Config
+
+Handler = Callable[[str, str, bytes], Any]
+
+
+async def read_body(receive: Any) -> bytes:
+    """Return the whole body of an ASGI request."""
+    chunks: list[bytes] = []
+    while True:
+        event = await receive()
+        chunks.append(event.get("body", b""))
+        if not event.get("more_body", False):
+            return b"".join(chunks)
+
+
+async def serve_control(
+    address: str,
+    handle: Handler,
+    *,
+    task_status: TaskStatus[str] = anyio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve ``handle(method, path, body)``, whose ``None`` is a 404; report the address."""
+
+    async def app(scope: Any, receive: Any, send: Any) -> None:
+        if scope["type"] != "http":
+            return
+        body = await read_body(receive)
+        answer = handle(scope["method"], scope["path"], body)
+        headers = [(b"content-type", b"application/json")]
+        status = 404 if answer is None else 200
+        await send({"type": "http.response.start", "status": status, "headers": headers})
+        await send({"type": "http.response.body", "body": json.dumps(answer).encode()})
+
+    host, _, port = address.rpartition(":")
+    listener = socket.create_server((host, int(port)))
+    config = Config()
+    config.errorlog = None
+    config.graceful_timeout = 0
+    task_status.started("{}:{}".format(*listener.getsockname()))
+    # hypercorn takes the descriptor over and closes it.
+    config.bind = [f"fd://{listener.detach()}"]
+    await serve(app, config, shutdown_trigger=anyio.sleep_forever)
