Parse the tables and report every fault in one go

Cause: nothing read the route and pool tables yet, and the daemon needs them. Conclusion: the types keep their fields; only defaults may be added from here on.

--- /dev/null
+++ b/packages/tables/src/fireflybridge_tables/_checks.py
@@ -0,0 +1,148 @@
+"""Checks over table entries, whatever they were read from."""
+
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+from fireflybridge_tables._faults import (
+    DuplicateName,
+    EmptyPool,
+    InvalidValue,
+    LimitExceeded,
+    MissingField,
+    MissingPool,
+    TableFault,
+    UnknownField,
+    WrongType,
+)
+from fireflybridge_tables._rules import FieldRule, describe_rule, has_type, is_allowed
+
+MAX_ROUTES = 1_000
+MAX_UPSTREAMS = 1_000
+MAX_QUOTAS_PER_POOL = 100
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """Hold the sound values of one entry with the place it was read from."""
+
+    file: str
+    path: str
+    values: Mapping[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class PoolEntry:
+    """Hold a pool's own values and its members."""
+
+    own: Entry
+    upstreams: tuple[Entry, ...]
+    quotas: tuple[Entry, ...]
+
+
+def check_fields(
+    file: str, path: str, found: Mapping[str, Any], fields: Mapping[str, FieldRule]
+) -> Iterator[TableFault]:
+    """Yield the faults of one entry's fields."""
+    known = tuple(fields)
+    yield from (UnknownField(file, path, name, known) for name in found if name not in fields)
+    for name, field in fields.items():
+        if name not in found:
+            if field.required:
+                yield MissingField(file, path, name, describe_rule(field.rule))
+        elif not has_type(field.rule, found[name]):
+            expected = describe_rule(field.rule)
+            yield WrongType(file, f"{path}.{name}", expected, name_type(found[name]))
+        elif not is_allowed(field.rule, found[name]):
+            expected = describe_rule(field.rule)
+            yield InvalidValue(file, f"{path}.{name}", expected, shorten_value(found[name]))
+
+
+def keep_sound_values(
+    found: Mapping[str, Any], fields: Mapping[str, FieldRule]
+) -> Mapping[str, Any]:
+    """Return the values that satisfy their rules."""
+    return {
+        name: found[name]
+        for name, field in fields.items()
+        if name in found
+        and has_type(field.rule, found[name])
+        and is_allowed(field.rule, found[name])
+    }
+
+
+def check_entries(routes: Sequence[Entry], pools: Sequence[PoolEntry]) -> Iterator[TableFault]:
+    """Yield the faults that lie between entries: names, references and limits."""
+    yield from check_duplicates(routes, "name")
+    yield from check_duplicates((pool.own for pool in pools), "name")
+    names = {pool.own.values.get("name") for pool in pools}
+    for route in routes:
+        target = route.values.get("pool")
+        if target is not None and target not in names:
+            yield MissingPool(route.file, f"{route.path}.pool", target)
+    for pool in pools:
+        yield from _check_members(pool)
+    yield from _check_limit(routes, "routes", MAX_ROUTES)
+    upstreams = [upstream for pool in pools for upstream in pool.upstreams]
+    yield from _check_limit(upstreams, "upstreams in all", MAX_UPSTREAMS)
+
+
+def check_duplicates(entries: Iterable[Entry], field: str) -> Iterator[TableFault]:
+    """Yield a fault for each entry whose field repeats that of an earlier entry."""
+    first: dict[Any, Entry] = {}
+    for entry in entries:
+        value = entry.values.get(field)
+        if value is None:
+            continue
+        earlier = first.setdefault(value, entry)
+        if earlier is not entry:
+            place = (
+                earlier.path if earlier.file == entry.file else f"{earlier.file}: {earlier.path}"
+            )
+            yield DuplicateName(entry.file, f"{entry.path}.{field}", value, place)
+
+
+def _check_members(pool: PoolEntry) -> Iterator[TableFault]:
+    if not pool.upstreams:
+        yield EmptyPool(pool.own.file, pool.own.path)
+    yield from check_duplicates(pool.upstreams, "name")
+    yield from check_duplicates(pool.upstreams, "address")
+    yield from check_duplicates(pool.quotas, "team")
+    yield from _check_limit(pool.quotas, "quotas in one pool", MAX_QUOTAS_PER_POOL)
+    for upstream in pool.upstreams:
+        slots, connections = (upstream.values.get(name) for name in ("slots", "connections"))
+        if slots is not None and connections is not None and connections < slots:
+            expected = f"at least the {slots} slots, each of which holds a connection"
+            path = f"{upstream.path}.connections"
+            yield InvalidValue(upstream.file, path, expected, str(connections))
+
+
+def _check_limit(entries: Sequence[Entry], what: str, limit: int) -> Iterator[TableFault]:
+    if len(entries) > limit:
+        excess = entries[limit]
+        yield LimitExceeded(excess.file, excess.path, what, limit, len(entries))
+
+
+def name_type(value: Any) -> str:
+    """Name the TOML type of a value."""
+    match value:
+        case bool():
+            return "a boolean"
+        case int():
+            return "a whole number"
+        case float():
+            return "a decimal number"
+        case str():
+            return "a string"
+        case list():
+            return "an array"
+        case dict():
+            return "a table"
+        case _:
+            return "a date or time"
+
+
+def shorten_value(value: Any) -> str:
+    """Return a value as text of at most 80 characters."""
+    text = repr(value) if not isinstance(value, bool) else str(value).lower()
+    return text if len(text) <= 80 else f"{text[:77]}..."
--- /dev/null
+++ b/packages/tables/src/fireflybridge_tables/_faults.py
@@ -0,0 +1,158 @@
+"""Faults of the tables, each with its place and its cure."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class InvalidSyntax:
+    """State that a file is not valid TOML; ``line`` counts from 1, 0 when it is not known."""
+
+    file: str
+    line: int
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class UnknownField:
+    """State that a table has a field that nothing reads."""
+
+    file: str
+    path: str
+    field: str
+    known: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class MissingField:
+    """State that a required field is absent."""
+
+    file: str
+    path: str
+    field: str
+    expected: str
+
+
+@dataclass(frozen=True, slots=True)
+class WrongType:
+    """State that a value has another type than its field."""
+
+    file: str
+    path: str
+    expected: str
+    found: str
+
+
+@dataclass(frozen=True, slots=True)
+class InvalidValue:
+    """State that a value has the right type and lies outside what is allowed."""
+
+    file: str
+    path: str
+    expected: str
+    found: str
+
+
+@dataclass(frozen=True, slots=True)
+class DuplicateName:
+    """State that two entries of one kind have the same name or address."""
+
+    file: str
+    path: str
+    name: str
+    first_path: str
+
+
+@dataclass(frozen=True, slots=True)
+class MissingPool:
+    """State that a route names a pool that does not exist."""
+
+    file: str
+    path: str
+    pool: str
+
+
+@dataclass(frozen=True, slots=True)
+class EmptyPool:
+    """State that a pool has no upstreams."""
+
+    file: str
+    path: str
+
+
+@dataclass(frozen=True, slots=True)
+class LimitExceeded:
+    """State that there is more of something than the limit allows."""
+
+    file: str
+    path: str
+    what: str
+    limit: int
+    found: int
+
+
+TableFault = (
+    InvalidSyntax
+    | UnknownField
+    | MissingField
+    | WrongType
+    | InvalidValue
+    | DuplicateName
+    | MissingPool
+    | EmptyPool
+    | LimitExceeded
+)
+
+
+def locate_fault(fault: TableFault) -> str:
+    """Return the place of a fault, as ``file:line`` or ``file: key path``."""
+    match fault:
+        case InvalidSyntax(file, line):
+            return f"{file}:{line}" if line else file
+        case UnknownField(file, path, field) | MissingField(file, path, field):
+            return f"{file}: {path}.{field}" if path else f"{file}: {field}"
+        case _:
+            return f"{fault.file}: {fault.path}" if fault.path else fault.file
+
+
+def describe_fault(fault: TableFault) -> str:
+    """Say in one phrase what is wrong."""
+    match fault:
+        case InvalidSyntax(detail=detail):
+            return f"not valid TOML: {detail}"
+        case UnknownField(field=field):
+            return f"unknown field {field!r}"
+        case MissingField(field=field):
+            return f"field {field!r} is missing"
+        case WrongType(expected=expected, found=found):
+            return f"found {found} where {expected} is expected"
+        case InvalidValue(expected=expected, found=found):
+            return f"{found} is not {expected}"
+        case DuplicateName(name=name, first_path=first_path):
+            return f"{name!r} is already used by {first_path}"
+        case MissingPool(pool=pool):
+            return f"there is no pool {pool!r}"
+        case EmptyPool():
+            return "the pool has no upstreams"
+        case LimitExceeded(what=what, limit=limit, found=found):
+            return f"{found} {what}, more than {limit}"
+
+
+def find_cure(fault: TableFault) -> str:
+    """Say in one phrase what to change."""
+    match fault:
+        case InvalidSyntax():
+            return "correct the TOML at this place"
+        case UnknownField(known=known):
+            return f"remove it, or use one of {', '.join(known)}"
+        case MissingField(field=field, expected=expected):
+            return f"add {field}: {expected}"
+        case WrongType(expected=expected) | InvalidValue(expected=expected):
+            return f"give {expected}"
+        case DuplicateName():
+            return "rename or remove one of the two"
+        case MissingPool(pool=pool):
+            return f"add a pool named {pool!r}, or name an existing one"
+        case EmptyPool():
+            return "add at least one [[pools.upstreams]], or remove the pool"
+        case LimitExceeded(what=what, limit=limit):
+            return f"keep to at most {limit} {what}"
