--- a/packages/core/src/fireflybridge_core/__init__.py
+++ b/packages/core/src/fireflybridge_core/__init__.py
@@ -1,5 +1,16 @@
 """Types, errors and identities shared by every fireflybridge package."""
 
+from fireflybridge_core._answers import (
+    Answer,
+    Complete,
+    Failed,
+    Pending,
+    Problem,
+    Ran,
+    Refused,
+    judge_ran,
+    summarize_outcomes,
+)
 from fireflybridge_core._errors import StepError
 from fireflybridge_core._identities import (
     CLAIM_SHARDS,
@@ -22,12 +33,19 @@
     "CLAIM_SHARDS",
     "MAX_KEY_LENGTH",
     "MAX_TASKS_PER_JOB",
+    "Answer",
     "Cause",
+    "Complete",
     "Done",
+    "Failed",
     "MayHaveRun",
     "NotRun",
     "Outcome",
     "Payload",
+    "Pending",
+    "Problem",
+    "Ran",
+    "Refused",
     "StepError",
     "Submission",
     "Task",
@@ -35,5 +53,7 @@
     "digest_content",
     "find_shard",
     "hash_key",
+    "judge_ran",
     "make_incarnation",
+    "summarize_outcomes",
 ]
--- /dev/null
+++ b/packages/core/src/fireflybridge_core/_answers.py
@@ -0,0 +1,101 @@
+"""Answers that a caller gets for a submission."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import StrEnum
+
+from fireflybridge_core._outcomes import Done, MayHaveRun, NotRun, Outcome
+
+FIRST_SERVER_ERROR_STATUS = 500
+
+
+class Ran(StrEnum):
+    """State what is known about the execution of a whole submission."""
+
+    NOT_RUN = "not-run"
+    MAY_HAVE_RUN = "may-have-run"
+    DONE = "done"
+
+
+class Problem(StrEnum):
+    """Name a kind of refusal; each is a problem type of the callers' API."""
+
+    BODY_TOO_LARGE = "body-too-large"
+    CANCELLED = "cancelled"
+    CONFLICT = "conflict"
+    DRAINING = "draining"
+    EXECUTOR_GONE = "executor-gone"
+    EXECUTOR_UNREACHABLE = "executor-unreachable"
+    ISSUER_GONE = "issuer-gone"
+    JOB_FAILED = "job-failed"
+    KEY_EXPIRED = "key-expired"
+    KEY_MISSING = "key-missing"
+    KEY_TOO_LONG = "key-too-long"
+    LOG_UNAVAILABLE = "log-unavailable"
+    MALFORMED = "malformed"
+    NOT_FOUND = "not-found"
+    NOT_READY = "not-ready"
+    OVERLOADED = "overloaded"
+    QUOTA_EXCEEDED = "quota-exceeded"
+    TOO_MANY_TASKS = "too-many-tasks"
+    UNKNOWN_KEY = "unknown-key"
+    UNKNOWN_ROUTE = "unknown-route"
+    WINDOW_UNREACHABLE = "window-unreachable"
+
+
+@dataclass(frozen=True, slots=True)
+class Complete:
+    """Hold the whole answer: one done outcome for each task, in task order."""
+
+    outcomes: tuple[Done, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Failed:
+    """Hold the outcome of each task, in task order, of a submission that did not complete."""
+
+    outcomes: tuple[Outcome, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Pending:
+    """State that the submission is accepted and has no answer yet."""
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """Refuse a request and state truthfully what ran.
+
+    ``retry_after_s`` of 0 means that no time is suggested.
+    """
+
+    problem: Problem
+    ran: Ran
+    detail: str
+    retry_after_s: float = 0.0
+
+
+Answer = Complete | Failed | Pending | Refused
+
+
+def summarize_outcomes(outcomes: Sequence[Outcome]) -> Complete | Failed:
+    """Return the answer for the outcomes of all tasks.
+
+    A task whose upstream answered with a server error ran but has no usable answer, so the
+    submission has failed.
+    """
+    done = tuple(
+        outcome
+        for outcome in outcomes
+        if isinstance(outcome, Done) and outcome.status < FIRST_SERVER_ERROR_STATUS
+    )
+    return Complete(done) if len(done) == len(outcomes) else Failed(tuple(outcomes))
+
+
+def judge_ran(outcomes: Sequence[Outcome]) -> Ran:
+    """Return what is known about a submission's execution as a whole."""
+    if all(isinstance(outcome, NotRun) for outcome in outcomes):
+        return Ran.NOT_RUN
+    if any(isinstance(outcome, MayHaveRun | NotRun) for outcome in outcomes):
+        return Ran.MAY_HAVE_RUN
+    return Ran.DONE
--- a/packages/core/src/fireflybridge_core/_tasks.py
+++ b/packages/core/src/fireflybridge_core/_tasks.py
@@ -60,5 +60,6 @@
     route: str
     team: str
     payloads: tuple[Payload, ...]
+    is_job: bool = True
     deadline_s: float | None = None
     traceparent: str = ""
--- /dev/null
+++ b/packages/front/src/fireflybridge_front/_callers.py
@@ -0,0 +1,169 @@
+"""Callers' HTTP API as an ASGI application."""
+
+import re
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import unquote
+
+import anyio
+import msgspec
+from result import Err, Ok
+
+from fireflybridge_core import (
+    Answer,
+    Complete,
+    Done,
+    Failed,
+    MayHaveRun,
+    NotRun,
+    Outcome,
+    Pending,
+    Problem,
+    Ran,
+    Refused,
+    judge_ran,
+)
+from fireflybridge_front._problems import refuse_malformed, render_problem
+from fireflybridge_front._requests import MAX_BODY_BYTES, Head, read_head, read_job, read_single
+from fireflybridge_front._service import Dispatcher, IssuedPrefix
+
+JSON_TYPE = (b"content-type", b"application/json")
+BODY_TIMEOUT_S = 10.0
+MAX_WAIT_S = 60.0
+WAIT_MS = re.compile(rb"(?:^|&)wait_ms=(\d{1,6})(?:&|$)")
+
+Rendered = tuple[int, list[tuple[bytes, bytes]], bytes]
+
+
+class CallersApp:
+    """Serve the callers' port: one coroutine for each request, read top to bottom."""
+
+    def __init__(self, dispatcher: Dispatcher, count_refusal: Callable[[Problem], None]) -> None:
+        self._dispatcher = dispatcher
+        self._count_refusal = count_refusal
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Answer one ASGI request."""
+        if scope["type"] != "http":
+            return
+        status, headers, body = await self._respond(scope, receive)
+        headers.append((b"content-length", b"%d" % len(body)))
+        await send({"type": "http.response.start", "status": status, "headers": headers})
+        await send({"type": "http.response.body", "body": body})
+
+    async def _respond(self, scope: Any, receive: Any) -> Rendered:
+        body = await _read_body(receive)
+        if isinstance(body, Refused):
+            return self._render(body)
+        match read_head(dict(scope["headers"])):
+            case Err(refused):
+                return self._render(refused)
+            case Ok(head):
+                return await self._route(scope, head, body)
+
+    async def _route(self, scope: Any, head: Head, body: bytes) -> Rendered:
+        segments = [unquote(part) for part in scope["path"].split("/")[1:]]
+        match (scope["method"], segments):
+            case ("POST", ["v1", "jobs"]):
+                return await self._post_job(head, body)
+            case ("GET", ["v1", "jobs", key]):
+                found = WAIT_MS.search(scope["query_string"])
+                wait_s = min(int(found[1]) / 1000, MAX_WAIT_S) if found else 0.0
+                return self._render(await self._dispatcher.fetch(key, wait_s), key)
+            case ("DELETE", ["v1", "jobs", key]):
+                return self._render(await self._dispatcher.cancel(key), key)
+            case ("POST", ["v1", "requests", route]):
+                answer = await self._dispatcher.submit(read_single(head, route, body))
+                return self._render_single(answer)
+            case ("POST", ["v1", "key-prefixes"]):
+                return self._post_prefix()
+            case (method, _):
+                detail = f"no {method} {scope['path']} on the callers' port"
+                return self._render(Refused(Problem.NOT_FOUND, Ran.NOT_RUN, detail))
+
+    async def _post_job(self, head: Head, body: bytes) -> Rendered:
+        match read_job(head, body):
+            case Err(refused):
+                return self._render(refused)
+            case Ok(submission) if head.respond_async:
+                return self._render(await self._dispatcher.start(submission), head.key)
+            case Ok(submission):
+                return self._render(await self._dispatcher.submit(submission), head.key)
+
+    def _post_prefix(self) -> Rendered:
+        match self._dispatcher.issue_prefix():
+            case IssuedPrefix(prefix=prefix, expires_in_s=expires_in_s):
+                data = {"prefix": prefix, "expires_in_s": expires_in_s}
+                return 201, [JSON_TYPE], msgspec.json.encode(data)
+            case refused:
+                return self._render(refused)
+
+    def _render(self, answer: Answer, key: str = "") -> Rendered:
+        match answer:
+            case Complete(outcomes=outcomes):
+                tasks = [describe_outcome(outcome) for outcome in outcomes]
+                data = {"key": key, "state": "complete", "ran": Ran.DONE, "tasks": tasks}
+                return 200, [JSON_TYPE], msgspec.json.encode(data)
+            case Pending():
+                location = (b"location", f"/v1/jobs/{key}".encode())
+                return 202, [JSON_TYPE, location], msgspec.json.encode({"state": "pending"})
+            case Failed(outcomes=outcomes):
+                tasks = [describe_outcome(outcome) for outcome in outcomes]
+                refused = Refused(Problem.JOB_FAILED, judge_ran(outcomes), count_states(outcomes))
+                return self._render_refused(refused, key=key, state="failed", tasks=tasks)
+            case Refused():
+                return self._render_refused(answer)
+
+    def _render_single(self, answer: Answer) -> Rendered:
+        match answer:
+            case Complete(outcomes=(done,)) | Failed(outcomes=(Done() as done,)):
+                headers = [
+                    (b"content-type", done.content_type.encode()),
+                    (b"fireflybridge-ran", b"done"),
+                ]
+                return done.status, headers, done.body
+            case _:
+                return self._render(answer)
+
+    def _render_refused(self, refused: Refused, **members: Any) -> Rendered:
+        self._count_refusal(refused.problem)
+        return render_problem(refused, **members)
+
+
+def describe_outcome(outcome: Outcome) -> dict[str, Any]:
+    """Return a task's outcome as JSON data."""
+    match outcome:
+        case Done(status=status, content_type=content_type, body=body):
+            text = body.decode(errors="replace")
+            return {"ran": "done", "status": status, "content_type": content_type, "body": text}
+        case NotRun(cause=cause):
+            return {"ran": "not-run", "cause": cause}
+        case MayHaveRun(cause=cause):
+            return {"ran": "may-have-run", "cause": cause}
+
+
+def count_states(outcomes: tuple[Outcome, ...]) -> str:
+    """Return how many tasks are done, not run, or may have run."""
+    done = sum(isinstance(outcome, Done) for outcome in outcomes)
+    not_run = sum(isinstance(outcome, NotRun) for outcome in outcomes)
+    unknown = len(outcomes) - done - not_run
+    return f"{done} tasks done, {not_run} not run, {unknown} may have run"
+
+
+async def _read_body(receive: Any) -> bytes | Refused:
+    chunks: list[bytes] = []
+    size = 0
+    more = True
+    with anyio.move_on_after(BODY_TIMEOUT_S):
+        while more:
+            event = await receive()
+            if event["type"] == "http.disconnect":
+                return refuse_malformed("the caller closed the connection before the body ended")
+            chunks.append(event.get("body", b""))
+            size += len(chunks[-1])
+            more = event.get("more_body", False)
+            if size > MAX_BODY_BYTES:
+                detail = f"the body exceeds {MAX_BODY_BYTES} bytes"
+                return Refused(Problem.BODY_TOO_LARGE, Ran.NOT_RUN, detail)
+        return b"".join(chunks)
+    return refuse_malformed(f"the body did not arrive within {BODY_TIMEOUT_S} s")
--- /dev/null
+++ b/packages/front/src/fireflybridge_front/_problems.py
@@ -0,0 +1,59 @@
+"""RFC 9457 problem details for refusals."""
+
+import math
+from typing import Any
+
+import msgspec
+
+from fireflybridge_core import Problem, Ran, Refused
+
+PROBLEM_TYPE_BASE = "urn:fireflybridge:problem:"
+PROBLEM_CONTENT_TYPE = b"application/problem+json"
+
+STATUSES = {
+    Problem.BODY_TOO_LARGE: 413,
+    Problem.CANCELLED: 409,
+    Problem.CONFLICT: 422,
+    Problem.DRAINING: 503,
+    Problem.EXECUTOR_GONE: 502,
+    Problem.EXECUTOR_UNREACHABLE: 503,
+    Problem.ISSUER_GONE: 502,
+    Problem.JOB_FAILED: 502,
+    Problem.KEY_EXPIRED: 410,
+    Problem.KEY_MISSING: 400,
+    Problem.KEY_TOO_LONG: 400,
+    Problem.LOG_UNAVAILABLE: 503,
+    Problem.MALFORMED: 400,
+    Problem.NOT_FOUND: 404,
+    Problem.NOT_READY: 503,
+    Problem.OVERLOADED: 503,
+    Problem.QUOTA_EXCEEDED: 429,
+    Problem.TOO_MANY_TASKS: 413,
+    Problem.UNKNOWN_KEY: 404,
+    Problem.UNKNOWN_ROUTE: 404,
+    Problem.WINDOW_UNREACHABLE: 503,
+}
+
+
+def render_problem(
+    refused: Refused, **members: Any
+) -> tuple[int, list[tuple[bytes, bytes]], bytes]:
+    """Return status, headers and body of the response to a refused request."""
+    status = STATUSES[refused.problem]
+    body = {
+        "type": PROBLEM_TYPE_BASE + refused.problem,
+        "title": refused.problem.replace("-", " "),
+        "status": status,
+        "detail": refused.detail,
+        "ran": str(refused.ran),
+        **members,
+    }
+    headers = [(b"content-type", PROBLEM_CONTENT_TYPE)]
+    if refused.retry_after_s > 0:
+        headers.append((b"retry-after", b"%d" % math.ceil(refused.retry_after_s)))
+    return status, headers, msgspec.json.encode(body)
+
+
+def refuse_malformed(detail: str) -> Refused:
+    """Return the refusal of a request that can't be read."""
+    return Refused(Problem.MALFORMED, Ran.NOT_RUN, detail)
--- /dev/null
+++ b/packages/front/src/fireflybridge_front/_requests.py
@@ -0,0 +1,120 @@
+"""Reads callers' HTTP requests into submissions."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+import msgspec
+from result import Err, Ok, Result
+
+from fireflybridge_core import (
+    MAX_KEY_LENGTH,
+    MAX_TASKS_PER_JOB,
+    Payload,
+    Problem,
+    Ran,
+    Refused,
+    Submission,
+)
+from fireflybridge_front._problems import refuse_malformed
+
+MAX_BODY_BYTES = 4 * 1024 * 1024
+DEFAULT_TEAM = "default"
+MAX_TEAM_LENGTH = 64
+MAX_DEADLINE_MS = 3_600_000
+
+
+class TaskBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One task of a job in JSON."""
+
+    body: str
+
+
+class JobBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A job in JSON."""
+
+    route: str
+    tasks: list[TaskBody]
+    deadline_ms: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Head:
+    """Hold the headers of a request that the front uses."""
+
+    key: str
+    team: str
+    traceparent: str
+    content_type: str
+    respond_async: bool
+    deadline_ms: int | None
+
+
+def read_head(headers: Mapping[bytes, bytes]) -> Result[Head, Refused]:
+    """Read and check the headers of a request."""
+    key = headers.get(b"idempotency-key", b"").decode("latin-1").strip().strip('"')
+    team = headers.get(b"fireflybridge-team", DEFAULT_TEAM.encode()).decode("latin-1")
+    deadline = headers.get(b"fireflybridge-deadline-ms", b"")
+    if len(key) > MAX_KEY_LENGTH:
+        detail = f"Idempotency-Key has {len(key)} characters; at most {MAX_KEY_LENGTH} are allowed"
+        return Err(Refused(Problem.KEY_TOO_LONG, Ran.NOT_RUN, detail))
+    if not key.isprintable() or not team.isprintable() or not 0 < len(team) <= MAX_TEAM_LENGTH:
+        return Err(refuse_malformed("a header holds unprintable characters or is too long"))
+    if deadline and not (deadline.isdigit() and 0 < int(deadline) <= MAX_DEADLINE_MS):
+        return Err(refuse_malformed(f"Fireflybridge-Deadline-Ms must be 1 to {MAX_DEADLINE_MS}"))
+    return Ok(
+        Head(
+            key=key,
+            team=team,
+            traceparent=headers.get(b"traceparent", b"").decode("latin-1"),
+            content_type=headers.get(b"content-type", b"application/octet-stream").decode(
+                "latin-1"
+            ),
+            respond_async=b"respond-async" in headers.get(b"prefer", b""),
+            deadline_ms=int(deadline) if deadline else None,
+        )
+    )
+
+
+def read_job(head: Head, body: bytes) -> Result[Submission, Refused]:
+    """Read a job's JSON body into a submission."""
+    if not head.key:
+        detail = "a job needs an Idempotency-Key header; get a prefix from POST /v1/key-prefixes"
+        return Err(Refused(Problem.KEY_MISSING, Ran.NOT_RUN, detail))
+    try:
+        job = msgspec.json.decode(body, type=JobBody)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return Err(refuse_malformed(f"job body: {error}"))
+    if len(job.tasks) > MAX_TASKS_PER_JOB:
+        detail = f"the job has {len(job.tasks)} tasks; at most {MAX_TASKS_PER_JOB} are allowed"
+        return Err(Refused(Problem.TOO_MANY_TASKS, Ran.NOT_RUN, detail))
+    if not job.tasks:
+        return Err(refuse_malformed("the job has no tasks"))
+    if job.deadline_ms is not None and not 0 < job.deadline_ms <= MAX_DEADLINE_MS:
+        return Err(refuse_malformed(f"deadline_ms must be 1 to {MAX_DEADLINE_MS}"))
+    payloads = tuple(Payload("text/plain", task.body.encode()) for task in job.tasks)
+    return Ok(_make_submission(head, job.route, payloads, job.deadline_ms, is_job=True))
+
+
+def read_single(head: Head, route: str, body: bytes) -> Submission:
+    """Read a single request, whose body goes to an upstream as it is."""
+    payloads = (Payload(head.content_type, body),)
+    return _make_submission(head, route, payloads, head.deadline_ms, is_job=False)
+
+
+def _make_submission(
+    head: Head,
+    route: str,
+    payloads: tuple[Payload, ...],
+    deadline_ms: int | None,
+    *,
+    is_job: bool,
+) -> Submission:
+    return Submission(
+        key=head.key,
+        route=route,
+        team=head.team,
+        payloads=payloads,
+        is_job=is_job,
+        deadline_s=None if deadline_ms is None else deadline_ms / 1000,
+        traceparent=head.traceparent,
+    )
--- /dev/null
+++ b/packages/front/src/fireflybridge_front/_server.py
@@ -0,0 +1,43 @@
+"""Runs an ASGI application on hypercorn."""
+
+import socket
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+from anyio.abc import TaskStatus
+from hypercorn.asyncio import serve
+from hypercorn.config import Config
+
+MAX_HEADER_BYTES = 16 * 1024
+KEEP_ALIVE_TIMEOUT_S = 75
+
+
+async def serve_app(
+    app: Any,
+    address: str,
+    wait_stop: Callable[[], Awaitable[None]],
+    graceful_s: float,
+    *,
+    task_status: TaskStatus[str] = anyio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve until ``wait_stop`` returns, then let open requests end for ``graceful_s`` seconds.
+
+    The bound ``ip:port`` is reported through ``task_status``.
+    """
+    host, _, port = address.rpartition(":")
+    listener = socket.create_server((host, int(port)), backlog=1024)
+    config = Config()
+    config.accesslog = None
+    config.errorlog = None
+    config.include_server_header = False
+    config.graceful_timeout = graceful_s
+    config.h11_max_incomplete_size = MAX_HEADER_BYTES
+    config.keep_alive_timeout = KEEP_ALIVE_TIMEOUT_S
+    # hypercorn's read_timeout would also cut callers that wait for an answer, so it stays unset;
+    # a slow body is bounded by the application, slow headers by the keep-alive timeout.
+    bound = "{}:{}".format(*listener.getsockname())
+    # hypercorn takes the descriptor over and closes it.
+    config.bind = [f"fd://{listener.detach()}"]
+    task_status.started(bound)
+    await serve(app, config, shutdown_trigger=wait_stop)
--- /dev/null
+++ b/packages/telemetry/src/fireflybridge_telemetry/_metrics.py
@@ -0,0 +1,60 @@
+"""Metrics of a daemon, with bounded label sets."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+RATIO_BUCKETS = (1.0, 1.1, 1.25, 1.5, 2.0, 3.0, 5.0, 10.0, 20.0, 50.0)
+SECONDS_BUCKETS = (0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0)
+
+
+class Metrics:
+    """Own every metric of one daemon in one registry."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.submissions = self._count(
+            "submissions", "Answers to submissions by pool and answer.", "pool", "answer"
+        )
+        self.refusals = self._count("refusals", "Refused requests by problem type.", "problem")
+        self.outcomes = self._count(
+            "task_outcomes", "Tasks by pool and outcome.", "pool", "outcome"
+        )
+        self.retries = self._count("retries", "Tasks sent again after not having run.", "pool")
+        self.starts = self._count("task_starts", "Tasks handed to an upstream.", "pool")
+        self.moved = self._count("tasks_moved", "Tasks run for or by another daemon.", "direction")
+        self.messages = self._count(
+            "peer_messages", "Messages between daemons.", "direction", "kind"
+        )
+        self.log_errors = self._count("log_errors", "Failed calls of the platform's log.", "step")
+        self.ownership = self._count(
+            "ownership_changes", "Upstreams acquired or released.", "change"
+        )
+        self.peers_lost = self._count("peers_lost", "Peers not heard from for the loss time.")
+        self.queued = self._gauge("queued_tasks", "Tasks in the pool's queue.", "pool")
+        self.free_slots = self._gauge("free_slots", "Slots of owned upstreams that wait.", "pool")
+        self.revision_offset = self._gauge("tables_offset", "Log offset of the tables in force.")
+        self.tables_faults = self._count("tables_faults", "Unreadable records of the tables.")
+        self.loop_lag = self._gauge("event_loop_lag_seconds", "Delay of a timer on the event loop.")
+        self.response = Histogram(
+            "fireflybridge_response_ratio",
+            "Response time of a done task over its run time.",
+            ["pool"],
+            buckets=RATIO_BUCKETS,
+            registry=self.registry,
+        )
+        self.response_seconds = Histogram(
+            "fireflybridge_response_seconds",
+            "Time from acceptance to answer in seconds.",
+            ["pool"],
+            buckets=SECONDS_BUCKETS,
+            registry=self.registry,
+        )
+
+    def render(self) -> bytes:
+        """Return the text exposition of every metric."""
+        return generate_latest(self.registry)
+
+    def _count(self, name: str, text: str, *labels: str) -> Counter:
+        return Counter(f"fireflybridge_{name}", text, labels, registry=self.registry)
+
+    def _gauge(self, name: str, text: str, *labels: str) -> Gauge:
+        return Gauge(f"fireflybridge_{name}", text, labels, registry=self.registry)
