--- /dev/null
+++ b/features/support/__init__.py
@@ -0,0 +1,11 @@
+"""Helpers shared by the steps of every feature."""
+
+from support.processes import (
+    EXIT_LIMIT_S,
+    READY_LIMIT_S,
+    Processes,
+    Program,
+    wait_until,
+)
+
+__all__ = ["EXIT_LIMIT_S", "READY_LIMIT_S", "Processes", "Program", "wait_until"]
--- /dev/null
+++ b/features/support/processes.py
@@ -0,0 +1,182 @@
+"""Start, signal and end the repository's own programs."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Mapping
+from contextlib import ExitStack
+from dataclasses import dataclass, field
+from typing import IO, Any
+
+# Limits end a hung run; no scenario passes or fails by being faster or slower within them.
+READY_LIMIT_S = 30.0
+EXIT_LIMIT_S = 30.0
+SECOND_SIGNAL_S = 2.0
+POLL_S = 0.01
+STDERR_TAIL_CHARACTERS = 4000
+
+
+def wait_until(
+    condition: Callable[[], object], limit_s: float = 30.0, detail: str = "condition"
+) -> None:
+    """Poll ``condition`` until it is true; raise AssertionError after ``limit_s`` seconds."""
+    deadline = time.monotonic() + limit_s
+    while not condition():
+        if time.monotonic() > deadline:
+            raise AssertionError(f"{detail} is still false after {limit_s} s")
+        time.sleep(POLL_S)
+
+
+@dataclass(frozen=True, slots=True)
+class Program:
+    """Handle one started program.
+
+    Standard output and standard error go to temporary files, so that a program never blocks on a
+    full pipe.
+    """
+
+    name: str
+    process: subprocess.Popen[bytes]
+    stdout: IO[bytes]
+    stderr: IO[bytes]
+    ready: dict[str, Any] = field(default_factory=dict)
+
+    @property
+    def pid(self) -> int:
+        """Return the process id."""
+        return self.process.pid
+
+    @property
+    def address(self) -> str:
+        """Return the ``ip:port`` of the ready line."""
+        return str(self.ready["address"])
+
+    def is_running(self) -> bool:
+        """Return whether the process has not exited yet."""
+        return self.process.poll() is None
+
+    def terminate(self) -> None:
+        """Send SIGTERM."""
+        self.process.send_signal(signal.SIGTERM)
+
+    def kill(self) -> None:
+        """Send SIGKILL."""
+        self.process.send_signal(signal.SIGKILL)
+
+    def pause(self) -> None:
+        """Send SIGSTOP and return once the process has stopped."""
+        self.process.send_signal(signal.SIGSTOP)
+        os.waitid(os.P_PID, self.pid, os.WSTOPPED | os.WNOWAIT)
+
+    def resume(self) -> None:
+        """Send SIGCONT."""
+        self.process.send_signal(signal.SIGCONT)
+
+    def wait_exit(self, limit_s: float = EXIT_LIMIT_S) -> int:
+        """Return the exit code, negative for a signal, or raise after ``limit_s`` seconds."""
+        try:
+            return self.process.wait(limit_s)
+        except subprocess.TimeoutExpired:
+            raise AssertionError(f"{self.name} still runs after {limit_s} s") from None
+
+    def read_stdout(self) -> str:
+        """Return everything that the program wrote to standard output."""
+        return _read_file(self.stdout)
+
+    def read_stderr(self) -> str:
+        """Return everything that the program wrote to standard error."""
+        return _read_file(self.stderr)
+
+
+class Processes:
+    """Own the programs that one scenario started."""
+
+    def __init__(self) -> None:
+        self.programs: list[Program] = []
+        self._files = ExitStack()
+
+    def start(
+        self,
+        module: str,
+        *arguments: str,
+        environment: Mapping[str, str] | None = None,
+        limit_s: float = READY_LIMIT_S,
+    ) -> Program:
+        """Run ``python -m module`` and return it after its ready line."""
+        program = self.spawn(module, *arguments, environment=environment)
+        wait_until(
+            lambda: "\n" in program.read_stdout() or not program.is_running(),
+            limit_s,
+            f"ready line of {program.name}",
+        )
+        line, newline, _ = program.read_stdout().partition("\n")
+        assert newline, f"{program.name} exited without a ready line: {program.read_stderr()}"
+        program.ready.update(json.loads(line))
+        assert program.ready.get("ready") is True, f"{program.name} printed {line}"
+        return program
+
+    def spawn(
+        self, module: str, *arguments: str, environment: Mapping[str, str] | None = None
+    ) -> Program:
+        """Run ``python -m module`` without waiting for it, for example to see it refuse to start."""
+        stdout = self._files.enter_context(tempfile.TemporaryFile())
+        stderr = self._files.enter_context(tempfile.TemporaryFile())
+        process = subprocess.Popen(
+            [sys.executable, "-m", module, *arguments],
+            stdin=subprocess.DEVNULL,
+            stdout=stdout,
+            stderr=stderr,
+            env={**os.environ, **(environment or {})},
+        )
+        program = Program(f"{module} (pid {process.pid})", process, stdout, stderr)
+        self.programs.append(program)
+        return program
+
+    def end_all(self) -> list[str]:
+        """End every program and return the names of those that ignored SIGTERM twice.
+
+        A second SIGTERM cuts a graceful shutdown short; a program that ignores it is killed.
+        """
+        self._signal_running(signal.SIGCONT, signal.SIGTERM)
+        if not self._wait_all(SECOND_SIGNAL_S):
+            self._signal_running(signal.SIGTERM)
+            self._wait_all(EXIT_LIMIT_S)
+        survivors = [program.name for program in self.programs if program.is_running()]
+        self._signal_running(signal.SIGKILL)
+        for program in self.programs:
+            program.process.wait()
+        return survivors
+
+    def describe(self) -> str:
+        """Return the exit code and the end of standard error of every program."""
+        return "\n".join(
+            f"--- {program.name}, exit code {program.process.poll()}\n"
+            f"{program.read_stderr()[-STDERR_TAIL_CHARACTERS:]}"
+            for program in self.programs
+        )
+
+    def close(self) -> None:
+        """Delete the temporary files."""
+        self._files.close()
+
+    def _signal_running(self, *signals: signal.Signals) -> None:
+        for program in filter(Program.is_running, self.programs):
+            for number in signals:
+                program.process.send_signal(number)
+
+    def _wait_all(self, limit_s: float) -> bool:
+        deadline = time.monotonic() + limit_s
+        while any(program.is_running() for program in self.programs):
+            if time.monotonic() > deadline:
+                return False
+            time.sleep(POLL_S)
+        return True
+
+
+def _read_file(file: IO[bytes]) -> str:
+    size = os.fstat(file.fileno()).st_size
+    return os.pread(file.fileno(), size, 0).decode(errors="replace")
