Keep program output in one temporary directory per scenario

Cause: ruff rejects temporary files opened without a context manager (SIM115). Change: a directory per scenario holds standard output and error as files.

--- a/features/support/processes.py
+++ b/features/support/processes.py
@@ -8,9 +8,9 @@
 import tempfile
 import time
 from collections.abc import Callable, Mapping
-from contextlib import ExitStack
 from dataclasses import dataclass, field
-from typing import IO, Any
+from pathlib import Path
+from typing import Any
 
 # Limits end a hung run; no scenario passes or fails by being faster or slower within them.
 READY_LIMIT_S = 30.0
@@ -41,8 +41,8 @@
 
     name: str
     process: subprocess.Popen[bytes]
-    stdout: IO[bytes]
-    stderr: IO[bytes]
+    stdout: Path
+    stderr: Path
     ready: dict[str, Any] = field(default_factory=dict)
 
     @property
@@ -85,11 +85,11 @@
 
     def read_stdout(self) -> str:
         """Return everything that the program wrote to standard output."""
-        return _read_file(self.stdout)
+        return self.stdout.read_text(errors="replace")
 
     def read_stderr(self) -> str:
         """Return everything that the program wrote to standard error."""
-        return _read_file(self.stderr)
+        return self.stderr.read_text(errors="replace")
 
 
 class Processes:
@@ -97,7 +97,7 @@
 
     def __init__(self) -> None:
         self.programs: list[Program] = []
-        self._files = ExitStack()
+        self._directory = tempfile.TemporaryDirectory()
 
     def start(
         self,
@@ -123,15 +123,16 @@
         self, module: str, *arguments: str, environment: Mapping[str, str] | None = None
     ) -> Program:
         """Run ``python -m module`` without waiting for it, for example to see it refuse to start."""
-        stdout = self._files.enter_context(tempfile.TemporaryFile())
-        stderr = self._files.enter_context(tempfile.TemporaryFile())
-        process = subprocess.Popen(
-            [sys.executable, "-m", module, *arguments],
-            stdin=subprocess.DEVNULL,
-            stdout=stdout,
-            stderr=stderr,
-            env={**os.environ, **(environment or {})},
-        )
+        stem = Path(self._directory.name, str(len(self.programs)))
+        stdout, stderr = stem.with_suffix(".stdout"), stem.with_suffix(".stderr")
+        with stdout.open("wb") as output, stderr.open("wb") as errors:
+            process = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=errors,
+                env={**os.environ, **(environment or {})},
+            )
         program = Program(f"{module} (pid {process.pid})", process, stdout, stderr)
         self.programs.append(program)
         return program
@@ -161,7 +162,7 @@
 
     def close(self) -> None:
         """Delete the temporary files."""
-        self._files.close()
+        self._directory.cleanup()
 
     def _signal_running(self, *signals: signal.Signals) -> None:
         for program in filter(Program.is_running, self.programs):
@@ -175,8 +176,3 @@
                 return False
             time.sleep(POLL_S)
         return True
-
-
-def _read_file(file: IO[bytes]) -> str:
-    size = os.fstat(file.fileno()).st_size
-    return os.pread(file.fileno(), size, 0).decode(errors="replace")
