--- a/packages/dispatch/src/fireflybridge_dispatch/__init__.py
+++ b/packages/dispatch/src/fireflybridge_dispatch/__init__.py
@@ -1,1 +1,25 @@
 """Dispatch policy: queue order, admission, limits and ejection."""
+
+from fireflybridge_dispatch._admission import Admission, Admitted, Refusal, Refused
+from fireflybridge_dispatch._attempts import MAX_ATTEMPTS
+from fireflybridge_dispatch._health import Ejected, Open, Permission, Probe, UpstreamHealth
+from fireflybridge_dispatch._queue import PoolQueue
+from fireflybridge_dispatch._retries import RetryBudget
+from fireflybridge_dispatch._snapshot import QueueSnapshot, TeamSnapshot
+
+__all__ = [
+    "MAX_ATTEMPTS",
+    "Admission",
+    "Admitted",
+    "Ejected",
+    "Open",
+    "Permission",
+    "PoolQueue",
+    "Probe",
+    "QueueSnapshot",
+    "Refusal",
+    "Refused",
+    "RetryBudget",
+    "TeamSnapshot",
+    "UpstreamHealth",
+]
