Add authenticated links between daemons

Cause: daemons have to move tasks, claims and table records, and to learn which peers are live.

Change: one task per peer collects a batch, sends it through Req0 and waits for the acknowledgement; one Rep0 listener queues each batch once. A session names one link of one incarnation, so a restarted receiver never takes what was meant for its predecessor, and the sender reports it as lost. Each frame carries HMAC-SHA256 bound to sender, receiver, both incarnations and the sequence; a reply is bound to its request. One exchange per pair and interval carries the heartbeats of both ends.

--- /dev/null
+++ b/packages/peers/src/fireflybridge_peers/_link.py
@@ -0,0 +1,217 @@
+"""Sending end of the link to one peer."""
+
+import itertools
+import secrets
+import time
+from collections.abc import Callable
+
+import anyio
+import pynng
+from result import Err, Ok, Result
+
+from fireflybridge_core import StepError
+from fireflybridge_peers._codec import (
+    NO_SESSION,
+    Accepted,
+    Busy,
+    Hello,
+    Reply,
+    Welcome,
+    decode_reply,
+    encode_batch,
+    encode_hello,
+    encode_message,
+    name_reply,
+    name_request,
+    seal_frame,
+    split_code,
+    split_frame,
+    verify_frame,
+)
+from fireflybridge_peers._heartbeats import HeartbeatTimes
+from fireflybridge_peers._messages import Message
+from fireflybridge_peers._outbox import Outbox, QueuedMessage, SendFailure
+from fireflybridge_peers._settings import LinkCallbacks, LinkSettings, LinkStats, Lost
+
+# A lost request or acknowledgement costs half a second, well below the 3 s after which a peer
+# counts as lost.
+RESEND_MS = 500
+# A request is encoded again after this time, so that its remaining times are not stale after a cut.
+# The time doubles, since an acknowledgement that takes longer would otherwise never be recognized.
+FIRST_REENCODE_S = 2.0
+MAX_REENCODE_S = 16.0
+RECONNECT_MIN_MS = 50
+RECONNECT_MAX_MS = 1000
+BUSY_RETRY_S = 0.02
+FAULT_RETRY_S = 1.0
+MAX_FRAME_BYTES = 2 * 1024 * 1024
+_LINK_BITS = 63
+
+
+class PeerLink:
+    """Own the outbox and the session of the link to one peer, and run its task."""
+
+    def __init__(
+        self,
+        peer: str,
+        address: str,
+        settings: LinkSettings,
+        callbacks: LinkCallbacks,
+        times: HeartbeatTimes,
+    ) -> None:
+        self.peer = peer
+        self.address = address
+        self._settings = settings
+        self._callbacks = callbacks
+        self._times = times
+        self._outbox = Outbox(peer, settings.max_queued_messages, settings.max_queued_bytes)
+        self._queued = anyio.Event()
+        self._scope = anyio.CancelScope()
+        self._hello = Hello(settings.name, settings.incarnation, secrets.randbits(_LINK_BITS))
+        self._incarnation = ""
+        self._in_flight: tuple[QueuedMessage, ...] = ()
+        self._exchanges = 0
+        self._sent_messages = 0
+        self._sent_bytes = 0
+        self._received_bytes = 0
+        self._round_trip_s = 0.0
+
+    def send(self, message: Message) -> Result[None, SendFailure]:
+        """Queue a message."""
+        result = self._outbox.put(encode_message(message), time.monotonic())
+        self._queued.set()
+        return result
+
+    def describe(self) -> LinkStats:
+        """Return the counters of the link."""
+        return LinkStats(
+            peer=self.peer,
+            incarnation=self._incarnation,
+            queued=len(self._outbox),
+            exchanges=self._exchanges,
+            sent_messages=self._sent_messages,
+            sent_bytes=self._sent_bytes,
+            received_bytes=self._received_bytes,
+            round_trip_s=self._round_trip_s,
+        )
+
+    def close(self) -> None:
+        """End the task and report what the peer has not acknowledged."""
+        self._scope.cancel()
+        self._report_lost()
+
+    async def run(self) -> None:
+        """Open a session, exchange batches until the peer forgets it, and start again."""
+        with self._scope, pynng.Req0(resend_time=RESEND_MS) as socket:
+            socket.reconnect_time_min = RECONNECT_MIN_MS
+            socket.reconnect_time_max = RECONNECT_MAX_MS
+            socket.recv_max_size = MAX_FRAME_BYTES
+            socket.dial(f"tcp://{self.address}", block=False)
+            while True:
+                welcome = await self._greet(socket)
+                self._incarnation = welcome.incarnation
+                await self._exchange_batches(socket, welcome.session)
+                self._report_lost()
+
+    async def _greet(self, socket: pynng.Req0) -> Welcome:
+        context = name_request("", "", self.peer, "")
+        body = encode_hello(self._hello)
+        while True:
+            reply = await self._exchange(
+                socket, lambda: seal_frame(self._settings.key, NO_SESSION, context, body)
+            )
+            if isinstance(reply, Welcome):
+                return reply
+            await anyio.sleep(FAULT_RETRY_S)
+
+    async def _exchange_batches(self, socket: pynng.Req0, session: bytes) -> None:
+        for sequence in itertools.count(1):
+            await self._wait_until_due()
+            self._in_flight = self._outbox.take_batch()
+            accepted = await self._exchange_batch(socket, session, sequence)
+            if accepted is None:
+                return
+            self._times.note_exchange(self.peer, time.monotonic())
+            self._exchanges += 1
+            self._sent_messages += len(self._in_flight)
+            self._in_flight = ()
+            if accepted.heartbeat is not None:
+                await self._callbacks.handle(self.peer, self._incarnation, accepted.heartbeat)
+
+    async def _wait_until_due(self) -> None:
+        while not self._outbox:
+            self._queued = anyio.Event()
+            with anyio.move_on_after(self._times.find_due(self.peer) - time.monotonic()) as wait:
+                await self._queued.wait()
+            if wait.cancelled_caught and self._times.find_due(self.peer) <= time.monotonic():
+                return
+        await anyio.sleep(self._settings.coalesce_s)
+
+    async def _exchange_batch(
+        self, socket: pynng.Req0, session: bytes, sequence: int
+    ) -> Accepted | None:
+        while True:
+            reply = await self._exchange(socket, lambda: self._seal_batch(session, sequence))
+            match reply:
+                case Accepted():
+                    return reply
+                case Busy():
+                    await anyio.sleep(BUSY_RETRY_S)
+                case _:
+                    return None
+
+    def _seal_batch(self, session: bytes, sequence: int) -> bytes:
+        now = time.monotonic()
+        heartbeat = None
+        if not self._in_flight or self._times.needs_heartbeat(self.peer, now):
+            heartbeat = self._callbacks.build_heartbeat(self.peer)
+            self._times.note_sent(self.peer, now)
+        aged = tuple((now - queued.queued_at, queued.encoded) for queued in self._in_flight)
+        context = name_request(
+            self._settings.name, self._settings.incarnation, self.peer, self._incarnation
+        )
+        body = encode_batch(sequence, heartbeat, aged)
+        return seal_frame(self._settings.key, session, context, body)
+
+    async def _exchange(self, socket: pynng.Req0, seal: Callable[[], bytes]) -> Reply:
+        wait_s = FIRST_REENCODE_S
+        while True:
+            frame = seal()
+            with anyio.move_on_after(wait_s):
+                match await self._request(socket, frame):
+                    case Ok(reply):
+                        return reply
+                    case Err(error):
+                        self._callbacks.report(error)
+                        await anyio.sleep(FAULT_RETRY_S)
+            wait_s = min(wait_s * 2, MAX_REENCODE_S)
+
+    async def _request(self, socket: pynng.Req0, frame: bytes) -> Result[Reply, StepError]:
+        started = time.monotonic()
+        self._sent_bytes += len(frame)
+        try:
+            await socket.asend(frame)
+            data = await socket.arecv()
+        except pynng.NNGException as error:
+            return Err(StepError("peers.exchange", self.peer, str(error)))
+        self._received_bytes += len(data)
+        self._round_trip_s = time.monotonic() - started
+        return self._open_reply(data, split_code(frame))
+
+    def _open_reply(self, data: bytes, request_code: bytes) -> Result[Reply, StepError]:
+        match split_frame(data, self.peer):
+            case Ok(frame):
+                context = name_reply(self.peer, request_code)
+                return verify_frame(self._settings.key, frame, context, self.peer).and_then(
+                    lambda _: decode_reply(frame.body, self.peer, self._incarnation)
+                )
+            case Err(error):
+                return Err(error)
+
+    def _report_lost(self) -> None:
+        unacknowledged = tuple(queued.encoded.message for queued in self._in_flight)
+        lost = Lost(self.peer, self._incarnation, unacknowledged, self._outbox.take_all())
+        self._in_flight = ()
+        self._incarnation = ""
+        if lost.incarnation or lost.unsent:
+            self._callbacks.lost(lost)
--- /dev/null
+++ b/packages/peers/src/fireflybridge_peers/_links.py
@@ -0,0 +1,90 @@
+"""Links of one daemon to all its peers."""
+
+import time
+
+import anyio
+import pynng
+from anyio.abc import TaskGroup, TaskStatus
+from anyio.streams.memory import MemoryObjectReceiveStream
+from result import Err, Result
+
+from fireflybridge_core import StepError
+from fireflybridge_peers._heartbeats import HeartbeatTimes
+from fireflybridge_peers._link import MAX_FRAME_BYTES, PeerLink
+from fireflybridge_peers._messages import Message
+from fireflybridge_peers._outbox import SendFailure, UnknownPeer
+from fireflybridge_peers._receiver import Delivery, Receiver
+from fireflybridge_peers._settings import LinkCallbacks, LinkSettings, LinkStats
+
+# With batches of at most 1 MiB the messages that wait for handling stay under 16 MiB.
+MAX_INBOX_BATCHES = 16
+
+
+class PeerLinks:
+    """Own the listener and one link task for each connected peer.
+
+    While both processes live, each message that ``send`` took is handled once at the peer, also
+    when acknowledgements are lost or connections break.
+    """
+
+    def __init__(self, settings: LinkSettings, callbacks: LinkCallbacks) -> None:
+        self._settings = settings
+        self._callbacks = callbacks
+        self._times = HeartbeatTimes(settings.name, settings.heartbeat_s)
+        self._links: dict[str, PeerLink] = {}
+        self._tasks: TaskGroup | None = None
+
+    async def run(self, *, task_status: TaskStatus[str] = anyio.TASK_STATUS_IGNORED) -> None:
+        """Serve the listener and the links until cancelled; report the listener's ``ip:port``."""
+        sender, inbox = anyio.create_memory_object_stream[Delivery](MAX_INBOX_BATCHES)
+        receiver = Receiver(self._settings, self._callbacks, self._times, sender)
+        with pynng.Rep0(recv_max_size=MAX_FRAME_BYTES) as socket, sender, inbox:
+            socket.listen(f"tcp://{self._settings.listen}")
+            async with anyio.create_task_group() as tasks:
+                self._tasks = tasks
+                tasks.start_soon(self._deliver, inbox)
+                for link in self._links.values():
+                    tasks.start_soon(link.run)
+                task_status.started(str(socket.listeners[0].local_address))
+                await self._serve(socket, receiver)
+
+    def connect(self, name: str, address: str) -> None:
+        """Start the link to a peer at ``ip:port``; a link to another address is ended first."""
+        known = self._links.get(name)
+        if known is not None and known.address == address:
+            return
+        self.disconnect(name)
+        self._times.add(name)
+        link = PeerLink(name, address, self._settings, self._callbacks, self._times)
+        self._links[name] = link
+        if self._tasks is not None:
+            self._tasks.start_soon(link.run)
+
+    def disconnect(self, name: str) -> None:
+        """End the link to a peer and report what the peer has not acknowledged."""
+        link = self._links.pop(name, None)
+        if link is not None:
+            self._times.remove(name)
+            link.close()
+
+    def send(self, peer: str, message: Message) -> Result[None, SendFailure]:
+        """Queue a message to a connected peer."""
+        link = self._links.get(peer)
+        return Err(UnknownPeer(peer)) if link is None else link.send(message)
+
+    def describe_links(self) -> tuple[LinkStats, ...]:
+        """Return the counters of every link."""
+        return tuple(link.describe() for link in self._links.values())
+
+    async def _serve(self, socket: pynng.Rep0, receiver: Receiver) -> None:
+        while True:
+            try:
+                request = await socket.arecv()
+                await socket.asend(receiver.answer(request, time.monotonic()))
+            except pynng.NNGException as error:
+                self._callbacks.report(StepError("peers.serve", "all peers", str(error)))
+
+    async def _deliver(self, inbox: MemoryObjectReceiveStream[Delivery]) -> None:
+        async for delivery in inbox:
+            for message in delivery.messages:
+                await self._callbacks.handle(delivery.peer, delivery.incarnation, message)
--- /dev/null
+++ b/packages/peers/src/fireflybridge_peers/_settings.py
@@ -0,0 +1,83 @@
+"""Settings and callbacks of the links, and what they report."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from fireflybridge_core import StepError
+from fireflybridge_peers._messages import Heartbeat, Message
+
+MIN_KEY_BYTES = 16
+_LOOPBACK_PREFIX = "127."
+
+
+@dataclass(frozen=True, slots=True)
+class LinkSettings:
+    """Configure the links of one daemon.
+
+    ``listen`` is ``ip:port``; port 0 takes a free one. ``key`` is shared by all daemons and has at
+    least 16 bytes; ``None`` turns authentication off, which is allowed on loopback only. The
+    outbox of a peer holds at most ``max_queued_messages`` and ``max_queued_bytes``. A queued
+    message waits up to ``coalesce_s`` seconds for others when the link is idle.
+    """
+
+    name: str
+    incarnation: str
+    listen: str
+    key: bytes | None
+    heartbeat_s: float = 1.0
+    coalesce_s: float = 0.001
+    max_queued_messages: int = 10_000
+    max_queued_bytes: int = 16 * 1024 * 1024
+
+    def __post_init__(self) -> None:
+        if self.key is None and not self.listen.startswith(_LOOPBACK_PREFIX):
+            raise ValueError(f"links without a key may listen on loopback only, not {self.listen}")
+        if self.key is not None and len(self.key) < MIN_KEY_BYTES:
+            raise ValueError(f"the shared key has fewer than {MIN_KEY_BYTES} bytes")
+
+
+@dataclass(frozen=True, slots=True)
+class Lost:
+    """Report what an incarnation of a peer will not acknowledge any more.
+
+    ``unacknowledged`` messages may have been handled. ``unsent`` ones were not and never will be.
+    ``incarnation`` is empty when the peer never answered.
+    """
+
+    peer: str
+    incarnation: str
+    unacknowledged: tuple[Message, ...]
+    unsent: tuple[Message, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class LinkCallbacks:
+    """Connect the links to the daemon.
+
+    ``handle`` gets the peer's name, its incarnation and one message, in order for each peer. It
+    must return without waiting for anything slow, since it serves all peers. ``build_heartbeat``
+    describes the daemon to the named peer. ``report`` gets faults of links, such as a wrong key.
+    """
+
+    handle: Callable[[str, str, Message], Awaitable[None]]
+    build_heartbeat: Callable[[str], Heartbeat]
+    lost: Callable[[Lost], None]
+    report: Callable[[StepError], None]
+
+
+@dataclass(frozen=True, slots=True)
+class LinkStats:
+    """Count what one link did since it was connected.
+
+    ``round_trip_s`` is the duration of the last acknowledged exchange in seconds. Bytes are those
+    of frames, without the overhead of the transport.
+    """
+
+    peer: str
+    incarnation: str
+    queued: int
+    exchanges: int
+    sent_messages: int
+    sent_bytes: int
+    received_bytes: int
+    round_trip_s: float
