--- /dev/null
+++ b/standins/src/fireflybridge_standins/platform/_server.py
@@ -0,0 +1,90 @@
+"""Run the stand-in's ASGI application on hypercorn.
+
+hypercorn answers 500 for an application that gives no answer, so each connection is served by
+hypercorn's own ``TCPServer`` with the connection's writer at hand: aborting it is the only way to
+close a connection without an answer.
+"""
+
+import asyncio
+from contextlib import suppress
+from contextvars import ContextVar
+from functools import partial
+from typing import Any
+
+from hypercorn.asyncio.tcp_server import TCPServer
+from hypercorn.asyncio.worker_context import WorkerContext
+from hypercorn.config import Config
+from hypercorn.utils import wrap_app
+
+from fireflybridge_standins.platform._control import handle_control
+from fireflybridge_standins.platform._service import (
+    Answer,
+    NoAnswer,
+    Platform,
+    Reply,
+    Request,
+    handle_request,
+)
+
+KEEP_ALIVE_S = 75.0
+MAX_REQUEST_BYTES = 4 << 20
+
+WRITER: ContextVar[asyncio.StreamWriter] = ContextVar("writer")
+
+
+async def read_body(receive: Any) -> bytes | None:
+    """Return the whole body, or ``None`` if the client left before its end.
+
+    A body that was cut off must not be appended as a record.
+    """
+    chunks: list[bytes] = []
+    while True:
+        event = await receive()
+        if event["type"] == "http.disconnect":
+            return None
+        chunks.append(event.get("body", b""))
+        if not event.get("more_body", False):
+            return b"".join(chunks)
+
+
+async def serve_request(platform: Platform, scope: Any, receive: Any, send: Any) -> None:
+    """Serve one ASGI request."""
+    if scope["type"] != "http":
+        return
+    body = await read_body(receive)
+    if body is None:
+        return
+    query = scope["query_string"].decode("ascii", "replace")
+    request = Request(scope["method"], scope["path"], query, body)
+    reply: Reply
+    if request.path.startswith("/control/"):
+        reply = handle_control(platform, request)
+    else:
+        reply = await handle_request(platform, request)
+    match reply:
+        case Answer(status, content):
+            headers = [
+                (b"content-type", b"application/json"),
+                (b"content-length", str(len(content)).encode()),
+            ]
+            await send({"type": "http.response.start", "status": status, "headers": headers})
+            await send({"type": "http.response.body", "body": content})
+        case NoAnswer():
+            WRITER.get().transport.abort()
+
+
+async def start_server(platform: Platform, host: str, port: int) -> asyncio.Server:
+    """Listen on ``host:port``, where port 0 picks a free one, with one task per connection."""
+    config = Config()
+    config.keep_alive_timeout = KEEP_ALIVE_S
+    app = wrap_app(partial(serve_request, platform), MAX_REQUEST_BYTES, "asgi")
+    context = WorkerContext(None)
+    loop = asyncio.get_running_loop()
+
+    async def serve_connection(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        WRITER.set(writer)
+        # Cancelled only at exit; asyncio 3.11 would log the cancellation as an error.
+        with suppress(asyncio.CancelledError):
+            await TCPServer(app, loop, config, context, {}, reader, writer)
+
+    return await asyncio.start_server(serve_connection, host, port)
