Carry the caller's answer in the reply to a fetch

Cause: the core package now defines what a caller is told. Change: Answer carries that union instead of a state of its own. Conclusion: a forwarded submission is refused with the executor's own words.

--- a/packages/peers/src/fireflybridge_peers/__init__.py
+++ b/packages/peers/src/fireflybridge_peers/__init__.py
@@ -10,7 +10,6 @@
 from fireflybridge_peers._links import PeerLinks
 from fireflybridge_peers._messages import (
     Answer,
-    AnswerState,
     Assign,
     AssignedTask,
     Backlog,
@@ -44,7 +43,6 @@
 __all__ = [
     "PROTOCOL_VERSION",
     "Answer",
-    "AnswerState",
     "Assign",
     "AssignedTask",
     "Backlog",
--- a/packages/peers/src/fireflybridge_peers/_conversion.py
+++ b/packages/peers/src/fireflybridge_peers/_conversion.py
@@ -1,6 +1,22 @@
 """Conversion between messages and their wire structs."""
 
-from fireflybridge_core import Cause, Done, MayHaveRun, NotRun, Outcome, Payload, Submission, TaskId
+from fireflybridge_core import (
+    Answer,
+    Cause,
+    Complete,
+    Done,
+    Failed,
+    MayHaveRun,
+    NotRun,
+    Outcome,
+    Payload,
+    Pending,
+    Problem,
+    Ran,
+    Refused,
+    Submission,
+    TaskId,
+)
 from fireflybridge_peers import _messages as m
 from fireflybridge_peers import _wire as w
 
@@ -29,9 +45,8 @@
             return w.WireClaimReply(shard, key_hash, digest, executor, attempt, packed)
         case m.Fetch(request_id, digest, submission):
             return w.WireFetch(request_id, digest, _pack_submission(submission))
-        case m.Answer(request_id, state, outcomes, detail):
-            packed_outcomes = tuple(_pack_outcome(outcome) for outcome in outcomes)
-            return w.WireAnswer(request_id, state.value, packed_outcomes, detail)
+        case m.Answer(request_id, answer):
+            return w.WireAnswer(request_id, _pack_answer(answer))
         case m.TablesHave(offset, revision):
             return w.WireTablesHave(offset, revision)
         case m.TablesSend(records):
@@ -70,8 +85,7 @@
         case w.WireFetch():
             return m.Fetch(wire.request_id, wire.digest, _unpack_submission(wire.submission))
         case w.WireAnswer():
-            outcomes = tuple(_unpack_outcome(outcome) for outcome in wire.outcomes)
-            return m.Answer(wire.request_id, m.AnswerState(wire.state), outcomes, wire.detail)
+            return m.Answer(wire.request_id, _unpack_answer(wire.answer))
         case w.WireTablesHave():
             return m.TablesHave(wire.offset, wire.revision)
         case w.WireTablesSend():
@@ -149,8 +163,8 @@
 
 def _pack_outcome(outcome: Outcome) -> w.WireOutcome:
     match outcome:
-        case Done(status, content_type, body, upstream, run_s):
-            return w.WireDone(status, content_type, body, upstream, run_s)
+        case Done():
+            return _pack_done(outcome)
         case NotRun(cause, upstream):
             return w.WireNotRun(cause.value, upstream)
         case MayHaveRun(cause, upstream):
@@ -160,13 +174,45 @@
 def _unpack_outcome(wire: w.WireOutcome) -> Outcome:
     match wire:
         case w.WireDone():
-            return Done(wire.status, wire.content_type, wire.body, wire.upstream, wire.run_s)
+            return _unpack_done(wire)
         case w.WireNotRun():
             return NotRun(Cause(wire.cause), wire.upstream)
         case w.WireMayHaveRun():
             return MayHaveRun(Cause(wire.cause), wire.upstream)
 
 
+def _pack_done(done: Done) -> w.WireDone:
+    return w.WireDone(done.status, done.content_type, done.body, done.upstream, done.run_s)
+
+
+def _unpack_done(wire: w.WireDone) -> Done:
+    return Done(wire.status, wire.content_type, wire.body, wire.upstream, wire.run_s)
+
+
+def _pack_answer(answer: Answer) -> w.WireCallerAnswer:
+    match answer:
+        case Complete(done):
+            return w.WireComplete(tuple(_pack_done(outcome) for outcome in done))
+        case Failed(outcomes):
+            return w.WireFailed(tuple(_pack_outcome(outcome) for outcome in outcomes))
+        case Pending():
+            return w.WirePending()
+        case Refused(problem, ran, detail, retry_after_s):
+            return w.WireRefused(problem.value, ran.value, detail, retry_after_s)
+
+
+def _unpack_answer(wire: w.WireCallerAnswer) -> Answer:
+    match wire:
+        case w.WireComplete():
+            return Complete(tuple(_unpack_done(outcome) for outcome in wire.outcomes))
+        case w.WireFailed():
+            return Failed(tuple(_unpack_outcome(outcome) for outcome in wire.outcomes))
+        case w.WirePending():
+            return Pending()
+        case w.WireRefused():
+            return Refused(Problem(wire.problem), Ran(wire.ran), wire.detail, wire.retry_after_s)
+
+
 def _pack_verdict(verdict: m.ClaimVerdict) -> w.WireVerdict:
     match verdict:
         case m.ClaimGranted():
--- a/packages/peers/src/fireflybridge_peers/_messages.py
+++ b/packages/peers/src/fireflybridge_peers/_messages.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, replace
 from enum import StrEnum
 
+from fireflybridge_core import Answer as CallerAnswer
 from fireflybridge_core import Outcome, Submission, Task, TaskId
 
 
@@ -170,27 +171,12 @@
     submission: Submission
 
 
-class AnswerState(StrEnum):
-    """Name the state of a submission at its executor."""
-
-    COMPLETE = "complete"
-    FAILED = "failed"
-    CONFLICT = "conflict"
-    EXPIRED = "expired"
-    REFUSED = "refused"
-
-
 @dataclass(frozen=True, slots=True)
 class Answer:
-    """Answer a fetch with one outcome for each task, in the order of the submission.
-
-    ``detail`` says why the submission was refused.
-    """
+    """Answer a fetch with what the executor would tell the caller."""
 
     request_id: int
-    state: AnswerState
-    outcomes: tuple[Outcome, ...] = ()
-    detail: str = ""
+    answer: CallerAnswer
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/peers/src/fireflybridge_peers/_wire.py
+++ b/packages/peers/src/fireflybridge_peers/_wire.py
@@ -178,13 +178,39 @@
     submission: WireSubmission
 
 
+class WireComplete(Struct, array_like=True, frozen=True, tag=0):
+    """Encode ``Complete``."""
+
+    outcomes: tuple[WireDone, ...]
+
+
+class WireFailed(Struct, array_like=True, frozen=True, tag=1):
+    """Encode ``Failed``."""
+
+    outcomes: tuple[WireOutcome, ...]
+
+
+class WirePending(Struct, array_like=True, frozen=True, tag=2):
+    """Encode ``Pending``."""
+
+
+class WireRefused(Struct, array_like=True, frozen=True, tag=3):
+    """Encode ``Refused``."""
+
+    problem: str
+    ran: str
+    detail: str
+    retry_after_s: float
+
+
+WireCallerAnswer = WireComplete | WireFailed | WirePending | WireRefused
+
+
 class WireAnswer(Struct, array_like=True, frozen=True, tag=10):
     """Encode ``Answer``."""
 
     request_id: int
-    state: str
-    outcomes: tuple[WireOutcome, ...]
-    detail: str
+    answer: WireCallerAnswer
 
 
 class WireTablesHave(Struct, array_like=True, frozen=True, tag=11):
