Carry the pool of an assignment and the attempt of a held claim

Cause: an empty assignment could not name its pool, and a peer's registrar could not tell which attempt holds a key. Change: one field each. Conclusion: lint passes.

--- a/packages/peers/src/fireflybridge_peers/_conversion.py
+++ b/packages/peers/src/fireflybridge_peers/_conversion.py
@@ -30,8 +30,8 @@
             return w.WireBacklog(pool, count)
         case m.Pull(pool, slots):
             return w.WirePull(pool, slots)
-        case m.Assign(assignment, tasks):
-            return w.WireAssign(assignment, tuple(_pack_task(task) for task in tasks))
+        case m.Assign(assignment, pool, tasks):
+            return w.WireAssign(assignment, pool, tuple(_pack_task(task) for task in tasks))
         case m.Results(results):
             return w.WireResults(tuple(_pack_result(result) for result in results))
         case m.Returned(ids):
@@ -66,7 +66,8 @@
         case w.WirePull():
             return m.Pull(wire.pool, wire.slots)
         case w.WireAssign():
-            return m.Assign(wire.assignment, tuple(_unpack_task(task) for task in wire.tasks))
+            tasks = tuple(_unpack_task(task) for task in wire.tasks)
+            return m.Assign(wire.assignment, wire.pool, tasks)
         case w.WireResults():
             return m.Results(tuple(_unpack_result(result) for result in wire.results))
         case w.WireReturned():
@@ -217,8 +218,8 @@
     match verdict:
         case m.ClaimGranted():
             return w.WireGranted()
-        case m.ClaimHeld(executor):
-            return w.WireHeld(executor)
+        case m.ClaimHeld(executor, attempt):
+            return w.WireHeld(executor, attempt)
         case m.ClaimConflict():
             return w.WireConflict()
         case m.ClaimUnavailable(detail):
@@ -230,7 +231,7 @@
         case w.WireGranted():
             return m.ClaimGranted()
         case w.WireHeld():
-            return m.ClaimHeld(wire.executor)
+            return m.ClaimHeld(wire.executor, wire.attempt)
         case w.WireConflict():
             return m.ClaimConflict()
         case w.WireUnavailable():
--- a/packages/peers/src/fireflybridge_peers/_messages.py
+++ b/packages/peers/src/fireflybridge_peers/_messages.py
@@ -76,9 +76,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Assign:
-    """Hand tasks over to the receiver under one assignment number of the sender."""
+    """Hand tasks of a pool over to the receiver under one assignment number of the sender."""
 
     assignment: int
+    pool: str
     tasks: tuple[AssignedTask, ...]
 
 
@@ -130,9 +131,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimHeld:
-    """Name the incarnation that owns the claim permanently."""
+    """Name the incarnation, and its attempt, that owns the claim permanently."""
 
     executor: str
+    attempt: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/peers/src/fireflybridge_peers/_wire.py
+++ b/packages/peers/src/fireflybridge_peers/_wire.py
@@ -85,6 +85,7 @@
     """Encode ``Assign``."""
 
     assignment: int
+    pool: str
     tasks: tuple[WireTask, ...]
 
 
@@ -132,6 +133,7 @@
     """Encode ``ClaimHeld``."""
 
     executor: str
+    attempt: int
 
 
 class WireConflict(Struct, array_like=True, frozen=True, tag=2):
