--- a/packages/peers/src/fireflybridge_peers/_codec.py
+++ b/packages/peers/src/fireflybridge_peers/_codec.py
@@ -199,19 +199,9 @@
 def decode_reply(body: bytes, peer: str, incarnation: str) -> Result[Reply, StepError]:
     """Return the reply of a body that this incarnation of the peer sent."""
     try:
-        wire = _reply_decoder.decode(body)
+        return Ok(_unpack_reply(_reply_decoder.decode(body), peer, incarnation))
     except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         return Err(StepError("peers.decode-reply", peer, str(error)))
-    match wire:
-        case _WireWelcome():
-            return Ok(Welcome(wire.session, wire.incarnation))
-        case _WireAccepted():
-            heartbeat = _unpack_optional(wire.heartbeat, peer, incarnation)
-            return Ok(Accepted(heartbeat))
-        case _WireBusy():
-            return Ok(Busy())
-        case _WireUnknownSession():
-            return Ok(UnknownSession())
 
 
 def name_request(sender: str, incarnation: str, receiver: str, receiver_incarnation: str) -> bytes:
@@ -256,6 +246,18 @@
     return Err(StepError("peers.verify-frame", peer, "authentication code does not match"))
 
 
+def _unpack_reply(wire: _WireReply, peer: str, incarnation: str) -> Reply:
+    match wire:
+        case _WireWelcome():
+            return Welcome(wire.session, wire.incarnation)
+        case _WireAccepted():
+            return Accepted(_unpack_optional(wire.heartbeat, peer, incarnation))
+        case _WireBusy():
+            return Busy()
+        case _WireUnknownSession():
+            return UnknownSession()
+
+
 def _unpack_optional(wire: WireHeartbeat | None, peer: str, incarnation: str) -> Heartbeat | None:
     return None if wire is None else unpack_heartbeat(wire, peer, incarnation)
 
--- a/packages/peers/src/fireflybridge_peers/_conversion.py
+++ b/packages/peers/src/fireflybridge_peers/_conversion.py
@@ -97,7 +97,7 @@
     """Return the wire struct of a heartbeat."""
     return w.WireHeartbeat(
         heartbeat.failure_domain,
-        heartbeat.state is m.PeerState.DRAINING,
+        heartbeat.state.value,
         heartbeat.tables_revision,
         heartbeat.log_reachable,
         tuple(w.WirePoolLoad(load.pool, load.queued, load.free_slots) for load in heartbeat.pools),
@@ -110,7 +110,7 @@
         peer,
         incarnation,
         wire.failure_domain,
-        m.PeerState.DRAINING if wire.draining else m.PeerState.READY,
+        m.PeerState(wire.state),
         wire.tables_revision,
         wire.log_reachable,
         tuple(m.PoolLoad(load.pool, load.queued, load.free_slots) for load in wire.pools),
--- a/packages/peers/src/fireflybridge_peers/_messages.py
+++ b/packages/peers/src/fireflybridge_peers/_messages.py
@@ -8,8 +8,9 @@
 
 
 class PeerState(StrEnum):
-    """Name whether a daemon takes new work."""
+    """Name whether a daemon takes new work; a starting one owns nothing yet."""
 
+    STARTING = "starting"
     READY = "ready"
     DRAINING = "draining"
 
--- a/packages/peers/src/fireflybridge_peers/_wire.py
+++ b/packages/peers/src/fireflybridge_peers/_wire.py
@@ -43,7 +43,7 @@
     """Encode ``Heartbeat``; name and incarnation are those of the link's session."""
 
     failure_domain: str
-    draining: bool
+    state: str
     tables_revision: str
     log_reachable: bool
     pools: tuple[WirePoolLoad, ...]
