Add the platform client over httpx

Cause: claims, tables and membership need the log and the host list. Change: HttpLog and HttpHostList speak the platform's protocol in one module.

--- a/features/environment.py
+++ b/features/environment.py
@@ -1,5 +1,6 @@
 """Give each scenario its own processes and end them after it."""
 
+import logging
 import sys
 
 from behave.model import Scenario
@@ -8,6 +9,11 @@
 from support.processes import Processes
 
 
+def before_all(context: Context) -> None:
+    # One line per request would bury the verdicts.
+    logging.getLogger("httpx").setLevel(logging.WARNING)
+
+
 def before_scenario(context: Context, scenario: Scenario) -> None:
     context.processes = Processes()
 
--- a/packages/platform/src/fireflybridge_platform/__init__.py
+++ b/packages/platform/src/fireflybridge_platform/__init__.py
@@ -1,5 +1,6 @@
 """Client of the platform's append-only log and host list."""
 
+from fireflybridge_platform._http import HttpHostList, HttpLog
 from fireflybridge_platform._interface import (
     AppendFailure,
     Host,
@@ -19,6 +20,8 @@
     "HostList",
     "HostRole",
     "HostState",
+    "HttpHostList",
+    "HttpLog",
     "Log",
     "MayBeAppended",
     "NotAppended",
--- a/standins/src/fireflybridge_standins/platform/_log.py
+++ b/standins/src/fireflybridge_standins/platform/_log.py
@@ -29,13 +29,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Counters:
-    """Count the use of one stream; bytes are payload bytes before base64."""
+    """Count the use of one stream; bytes are payload bytes before base64.
+
+    ``waiting`` is the number of reads that wait for their first record at the moment.
+    """
 
     appends: int = 0
     append_bytes: int = 0
     reads: int = 0
     read_records: int = 0
     read_bytes: int = 0
+    waiting: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,9 +110,7 @@
     async def read(self, name: str, start: int, limit: int, wait_s: float) -> Slice:
         """Read up to ``limit`` records from ``start``, waiting up to ``wait_s`` for the first."""
         stream = self._find_stream(name)
-        with anyio.move_on_after(wait_s):
-            while start >= stream.end_offset:
-                await stream.appended.wait()
+        await _wait_record(stream, start, wait_s)
         self._drop_expired(stream)
         entries = _select_entries(stream, start, limit)
         size = sum(len(entry.payload) for entry in entries)
@@ -145,6 +147,16 @@
             entries.popleft()
 
 
+async def _wait_record(stream: Stream, start: int, wait_s: float) -> None:
+    stream.counters = replace(stream.counters, waiting=stream.counters.waiting + 1)
+    try:
+        with anyio.move_on_after(wait_s):
+            while start >= stream.end_offset:
+                await stream.appended.wait()
+    finally:
+        stream.counters = replace(stream.counters, waiting=stream.counters.waiting - 1)
+
+
 def _select_entries(stream: Stream, start: int, limit: int) -> tuple[Entry, ...]:
     """Return at least one record if there is one, and about ``MAX_PAGE_BYTES`` at most."""
     skipped = max(0, start - stream.first_offset)
