Give queued messages back when a peer stops to acknowledge

Cause: a message queued behind a stalled exchange would wait until the peer is disconnected, although its tasks could still run elsewhere. Change: after 3 s without an acknowledgement the unsent messages are reported and further ones refused. Conclusion: only what was sent stays in doubt.

--- a/packages/peers/src/fireflybridge_peers/__init__.py
+++ b/packages/peers/src/fireflybridge_peers/__init__.py
@@ -37,8 +37,14 @@
     age_message,
     assign_task,
 )
-from fireflybridge_peers._outbox import MessageTooLarge, OutboxFull, SendFailure, UnknownPeer
-from fireflybridge_peers._settings import LinkCallbacks, LinkSettings, LinkStats, Lost
+from fireflybridge_peers._outbox import (
+    MessageTooLarge,
+    OutboxFull,
+    PeerStalled,
+    SendFailure,
+    UnknownPeer,
+)
+from fireflybridge_peers._settings import LinkCallbacks, LinkSettings, LinkStats, Lost, Stalled
 
 __all__ = [
     "PROTOCOL_VERSION",
@@ -65,12 +71,14 @@
     "MessageTooLarge",
     "OutboxFull",
     "PeerLinks",
+    "PeerStalled",
     "PeerState",
     "PoolLoad",
     "Pull",
     "Results",
     "Returned",
     "SendFailure",
+    "Stalled",
     "TableRecord",
     "TablesHave",
     "TablesSend",
--- a/packages/peers/src/fireflybridge_peers/_link.py
+++ b/packages/peers/src/fireflybridge_peers/_link.py
@@ -30,16 +30,18 @@
 )
 from fireflybridge_peers._heartbeats import HeartbeatTimes
 from fireflybridge_peers._messages import Message
-from fireflybridge_peers._outbox import Outbox, QueuedMessage, SendFailure
-from fireflybridge_peers._settings import LinkCallbacks, LinkSettings, LinkStats, Lost
+from fireflybridge_peers._outbox import Outbox, PeerStalled, QueuedMessage, SendFailure
+from fireflybridge_peers._settings import LinkCallbacks, LinkSettings, LinkStats, Lost, Stalled
 
 # A lost request or acknowledgement costs half a second, well below the 3 s after which a peer
 # counts as lost.
 RESEND_MS = 500
-# A request is encoded again after this time, so that its remaining times are not stale after a cut.
-# The time doubles, since an acknowledgement that takes longer would otherwise never be recognized.
-FIRST_REENCODE_S = 2.0
-MAX_REENCODE_S = 16.0
+# After this time a request is encoded again, so that its remaining times are not stale after a cut,
+# and queued messages are given back: their tasks still have a chance elsewhere. It is the time after
+# which a silent peer counts as lost. It doubles with each attempt, since an acknowledgement that
+# takes longer would otherwise never be recognized.
+STALLED_AFTER_S = 3.0
+MAX_ATTEMPT_S = 24.0
 RECONNECT_MIN_MS = 50
 RECONNECT_MAX_MS = 1000
 BUSY_RETRY_S = 0.02
@@ -70,6 +72,7 @@
         self._hello = Hello(settings.name, settings.incarnation, secrets.randbits(_LINK_BITS))
         self._incarnation = ""
         self._in_flight: tuple[QueuedMessage, ...] = ()
+        self._stalled = False
         self._exchanges = 0
         self._sent_messages = 0
         self._sent_bytes = 0
@@ -77,7 +80,9 @@
         self._round_trip_s = 0.0
 
     def send(self, message: Message) -> Result[None, SendFailure]:
-        """Queue a message."""
+        """Queue a message unless the peer has stopped to acknowledge."""
+        if self._stalled:
+            return Err(PeerStalled(self.peer))
         result = self._outbox.put(encode_message(message), time.monotonic())
         self._queued.set()
         return result
@@ -174,17 +179,19 @@
         return seal_frame(self._settings.key, session, context, body)
 
     async def _exchange(self, socket: pynng.Req0, seal: Callable[[], bytes]) -> Reply:
-        wait_s = FIRST_REENCODE_S
+        wait_s = STALLED_AFTER_S
         while True:
             frame = seal()
             with anyio.move_on_after(wait_s):
                 match await self._request(socket, frame):
                     case Ok(reply):
+                        self._stalled = False
                         return reply
                     case Err(error):
                         self._callbacks.report(error)
                         await anyio.sleep(FAULT_RETRY_S)
-            wait_s = min(wait_s * 2, MAX_REENCODE_S)
+            self._take_back_unsent()
+            wait_s = min(wait_s * 2, MAX_ATTEMPT_S)
 
     async def _request(self, socket: pynng.Req0, frame: bytes) -> Result[Reply, StepError]:
         started = time.monotonic()
@@ -208,6 +215,12 @@
             case Err(error):
                 return Err(error)
 
+    def _take_back_unsent(self) -> None:
+        self._stalled = True
+        unsent = self._outbox.take_all()
+        if unsent:
+            self._callbacks.stalled(Stalled(self.peer, self._incarnation, unsent))
+
     def _report_lost(self) -> None:
         unacknowledged = tuple(queued.encoded.message for queued in self._in_flight)
         lost = Lost(self.peer, self._incarnation, unacknowledged, self._outbox.take_all())
--- a/packages/peers/src/fireflybridge_peers/_outbox.py
+++ b/packages/peers/src/fireflybridge_peers/_outbox.py
@@ -26,6 +26,13 @@
     peer: str
 
 
+@dataclass(frozen=True, slots=True)
+class PeerStalled:
+    """State that the peer has acknowledged nothing for longer than an exchange may take."""
+
+    peer: str
+
+
 @dataclass(frozen=True, slots=True)
 class MessageTooLarge:
     """State that the encoded message, in bytes, exceeds the limit of a batch."""
@@ -35,7 +42,7 @@
     limit: int
 
 
-SendFailure = UnknownPeer | OutboxFull | MessageTooLarge
+SendFailure = UnknownPeer | OutboxFull | PeerStalled | MessageTooLarge
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/peers/src/fireflybridge_peers/_settings.py
+++ b/packages/peers/src/fireflybridge_peers/_settings.py
@@ -50,6 +50,18 @@
     unsent: tuple[Message, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class Stalled:
+    """Report messages that were taken back, because the peer acknowledges nothing.
+
+    ``unsent`` messages were not handled and never will be. What was sent may still be acknowledged.
+    """
+
+    peer: str
+    incarnation: str
+    unsent: tuple[Message, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class LinkCallbacks:
     """Connect the links to the daemon.
@@ -62,6 +74,7 @@
     handle: Callable[[str, str, Message], Awaitable[None]]
     build_heartbeat: Callable[[str], Heartbeat]
     lost: Callable[[Lost], None]
+    stalled: Callable[[Stalled], None]
     report: Callable[[StepError], None]
 
 
