--- a/packages/core/src/fireflybridge_core/_answers.py
+++ b/packages/core/src/fireflybridge_core/_answers.py
@@ -64,8 +64,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Refused:
-    """Refuse a request and state truthfully what ran.
+    """Refuse a request, which itself has started nothing.
 
+    ``ran`` speaks of the submission, including earlier requests under the same key.
     ``retry_after_s`` of 0 means that no time is suggested.
     """
 
--- /dev/null
+++ b/packages/daemon/src/fireflybridge_daemon/_claiming.py
@@ -0,0 +1,185 @@
+"""Claims of chosen keys, through the registrar of their shard here or at a peer."""
+
+import time
+from collections.abc import Callable
+from typing import Protocol
+
+import anyio
+from anyio.abc import TaskGroup
+from result import Err, Result
+
+from fireflybridge_claims import (
+    Claim,
+    Conflict,
+    Decision,
+    Granted,
+    HeldBy,
+    LogFailed,
+    Registrar,
+    RegistrarLimits,
+    Report,
+    Unavailable,
+)
+from fireflybridge_core import StepError, find_shard
+from fireflybridge_peers import (
+    ClaimConflict,
+    ClaimGranted,
+    ClaimHeld,
+    ClaimReply,
+    ClaimRequest,
+    ClaimUnavailable,
+    ClaimVerdict,
+    Message,
+    SendFailure,
+)
+from fireflybridge_platform import Log
+from fireflybridge_telemetry import Event, Metrics, log_event
+
+# A healthy registrar answers within an append; a silent one leaves half of the time for the log.
+REMOTE_SHARE = 0.5
+RETRY_AFTER_S = 1.0
+
+
+class Router(Protocol):
+    """Find the registrar of a shard and send messages to peers."""
+
+    def find_registrar(self, shard: int) -> str:
+        """Return the name of the daemon that owns the shard; empty for this daemon."""
+
+    def send(self, peer: str, message: Message) -> Result[None, SendFailure]:
+        """Queue a message to a peer."""
+
+
+class Claims:
+    """Own this daemon's registrars and the claims that wait for a peer's registrar."""
+
+    def __init__(
+        self,
+        log: Log,
+        incarnation: str,
+        limits: RegistrarLimits,
+        router: Router,
+        group: TaskGroup,
+        metrics: Metrics,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._log = log
+        self._incarnation = incarnation
+        self._limits = limits
+        self._router = router
+        self._group = group
+        self._metrics = metrics
+        self._clock = clock
+        self._registrars: dict[int, Registrar] = {}
+        self._waiting: dict[tuple[str, int], _Waiter] = {}
+
+    @property
+    def remembered(self) -> int:
+        """Return how many claims the registrars here remember."""
+        return sum(registrar.remembered for registrar in self._registrars.values())
+
+    async def claim(self, claim: Claim) -> Decision:
+        """Return the decision on a claim of this daemon.
+
+        A registrar that does not answer is bypassed: any daemon may append to any shard once it
+        has read it, and the first record still wins.
+        """
+        shard = find_shard(claim.key_hash)
+        owner = self._router.find_registrar(shard)
+        if owner:
+            decision = await self._ask_peer(owner, shard, claim)
+            if decision is not None:
+                return decision
+        return await self._find_local(shard).claim(claim)
+
+    async def serve(self, peer: str, request: ClaimRequest) -> None:
+        """Decide a peer's claim and send the reply."""
+        claim = Claim(request.key_hash, request.digest, request.executor, request.attempt)
+        decision = await self._find_local(request.shard).claim(claim)
+        reply = ClaimReply(
+            request.shard,
+            request.key_hash,
+            request.digest,
+            request.executor,
+            request.attempt,
+            _make_verdict(decision),
+        )
+        # A lost reply is settled by the peer, which claims through the log itself.
+        self._router.send(peer, reply)
+
+    def receive(self, peer: str, reply: ClaimReply) -> None:
+        """Hand a registrar's reply to the claim that waits for it."""
+        waiter = self._waiting.get((peer, reply.attempt))
+        if waiter is not None and waiter.key_hash == reply.key_hash:
+            waiter.verdict = reply.verdict
+            waiter.decided.set()
+
+    async def _ask_peer(self, owner: str, shard: int, claim: Claim) -> Decision | None:
+        request = ClaimRequest(shard, claim.key_hash, claim.digest, claim.executor, claim.attempt)
+        waiter = _Waiter(claim.key_hash)
+        self._waiting[(owner, claim.attempt)] = waiter
+        try:
+            if isinstance(self._router.send(owner, request), Err):
+                return None
+            with anyio.move_on_after(self._limits.claim_timeout_s * REMOTE_SHARE):
+                await waiter.decided.wait()
+        finally:
+            del self._waiting[(owner, claim.attempt)]
+        return None if waiter.verdict is None else _read_verdict(owner, claim, waiter.verdict)
+
+    def _find_local(self, shard: int) -> Registrar:
+        """Return the registrar of a shard here, started on first use."""
+        registrar = self._registrars.get(shard)
+        if registrar is None:
+            registrar = Registrar(
+                self._log,
+                shard,
+                self._incarnation,
+                self._clock,
+                limits=self._limits,
+                report=self._report,
+            )
+            self._registrars[shard] = registrar
+            self._group.start_soon(registrar.run)
+        return registrar
+
+    def _report(self, report: Report) -> None:
+        match report:
+            case LogFailed(shard=shard, error=error):
+                self._metrics.log_errors.labels(error.step).inc()
+                log_event(Event.CLAIM_APPEND_FAILED, level="warning", shard=shard, error=str(error))
+            case _:
+                log_event(Event.CLAIM_SHARD_REPORT, report=repr(report))
+
+
+class _Waiter:
+    """Hold a claim until its registrar's verdict arrives."""
+
+    def __init__(self, key_hash: bytes) -> None:
+        self.key_hash = key_hash
+        self.decided = anyio.Event()
+        self.verdict: ClaimVerdict | None = None
+
+
+def _make_verdict(decision: Decision) -> ClaimVerdict:
+    match decision:
+        case Granted():
+            return ClaimGranted()
+        case HeldBy(executor=executor, attempt=attempt):
+            return ClaimHeld(executor, attempt)
+        case Conflict():
+            return ClaimConflict()
+        case Unavailable(error=error):
+            return ClaimUnavailable(str(error))
+
+
+def _read_verdict(owner: str, claim: Claim, verdict: ClaimVerdict) -> Decision:
+    match verdict:
+        case ClaimGranted():
+            return Granted()
+        case ClaimHeld(executor=executor, attempt=attempt):
+            return HeldBy(executor, attempt)
+        case ClaimConflict():
+            return Conflict(owner)
+        case ClaimUnavailable(detail=detail):
+            return Unavailable(StepError("claims.claim", owner, detail), RETRY_AFTER_S)
--- /dev/null
+++ b/packages/daemon/src/fireflybridge_daemon/_configuration.py
@@ -0,0 +1,178 @@
+"""The tables in force in this daemon, and the pools that they name."""
+
+import time
+from collections.abc import Callable
+
+import anyio
+from result import Err, Ok
+
+from fireflybridge_core import StepError
+from fireflybridge_daemon._pools import PoolRunner
+from fireflybridge_peers import TableRecord, TablesHave, TablesSend
+from fireflybridge_platform import Log, Page
+from fireflybridge_tables import (
+    TABLES_STREAM,
+    Keep,
+    Pool,
+    Route,
+    TablesState,
+    adopt_keep,
+    decode_record,
+    encode_record,
+    fold_record,
+    make_keep,
+    needs_keep,
+    skip_gap,
+)
+from fireflybridge_telemetry import Event, Metrics, log_event
+
+# An idle read ends after this time, so that a dead connection is noticed.
+READ_WAIT_S = 20.0
+MIN_PAUSE_S = 0.1
+MAX_PAUSE_S = 2.0
+
+MakeRunner = Callable[[Pool], PoolRunner]
+
+
+class Configuration:
+    """Own the fold of the tables stream and one runner for each pool."""
+
+    def __init__(
+        self,
+        log: Log,
+        make_runner: MakeRunner,
+        keep_interval_s: float,
+        metrics: Metrics,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._log = log
+        self._make_runner = make_runner
+        self._keep_interval_s = keep_interval_s
+        self._metrics = metrics
+        self._clock = clock
+        self._state = TablesState()
+        self._runners: dict[str, PoolRunner] = {}
+        self._since = clock()
+        self._kept_seen = (0, clock())
+        self.log_reachable = False
+        self.on_change: Callable[[], None] = lambda: None
+        self.may_keep: Callable[[], bool] = lambda: False
+
+    @property
+    def loaded(self) -> bool:
+        """Tell whether any tables are in force."""
+        return self._state.revision is not None
+
+    @property
+    def state(self) -> TablesState:
+        """Return the fold of the stream."""
+        return self._state
+
+    @property
+    def age_s(self) -> float:
+        """Return for how many seconds the revision has been in force here."""
+        return self._clock() - self._since
+
+    @property
+    def runners(self) -> tuple[PoolRunner, ...]:
+        """Return the runner of every pool, retired ones included."""
+        return tuple(self._runners.values())
+
+    def find(self, route: str) -> tuple[Route, PoolRunner] | None:
+        """Return a route in force with the runner of its pool."""
+        found = self._state.tables.routes.get(route)
+        return None if found is None else (found, self._runners[found.pool])
+
+    def find_runner(self, pool: str) -> PoolRunner | None:
+        """Return the runner of a pool, also of one that has left the tables."""
+        return self._runners.get(pool)
+
+    async def follow(self) -> None:
+        """Read the tables stream and apply each revision, for ever."""
+        pause_s = MIN_PAUSE_S
+        while True:
+            match await self._log.read(TABLES_STREAM, self._state.offset, wait_s=READ_WAIT_S):
+                case Ok(page):
+                    pause_s = MIN_PAUSE_S
+                    self.log_reachable = True
+                    self._fold_page(page)
+                    await self._keep_if_due(page)
+                case Err(error):
+                    self._note_failure(error)
+                    await anyio.sleep(pause_s)
+                    pause_s = min(MAX_PAUSE_S, pause_s * 2)
+
+    def describe(self) -> TablesHave:
+        """Return what this daemon knows of the stream, for a peer."""
+        return TablesHave(self._state.offset, self._state.revision_id)
+
+    def answer_peer(self, have: TablesHave) -> TablesSend | None:
+        """Return the revision in force for a peer that knows less of the stream."""
+        keep = make_keep(self._state)
+        if keep is None or have.offset >= self._state.offset:
+            return None
+        return TablesSend((TableRecord(keep.as_of, encode_record(keep)),))
+
+    def adopt(self, message: TablesSend) -> None:
+        """Take over a revision from a peer that has read further."""
+        for record in message.records:
+            match decode_record(record.payload):
+                case Keep() as keep:
+                    self._apply(adopt_keep(self._state, keep))
+                case _:
+                    self._metrics.tables_faults.inc()
+                    log_event(Event.TABLES_RECORD_UNREADABLE, level="warning", offset=record.offset)
+
+    def retire_idle(self) -> None:
+        """Drop the runners of pools that left the tables and have nothing left to do."""
+        for name, runner in tuple(self._runners.items()):
+            if name not in self._state.tables.pools and runner.idle:
+                runner.withdraw()
+                del self._runners[name]
+
+    def _fold_page(self, page: Page) -> None:
+        state = skip_gap(self._state, page.first_offset)
+        for record in page.records:
+            before = state.last_fault
+            state = fold_record(state, record.offset, decode_record(record.payload))
+            if state.last_fault is not None and state.last_fault is not before:
+                self._metrics.tables_faults.inc()
+                log_event(
+                    Event.TABLES_RECORD_UNREADABLE, level="warning", fault=repr(state.last_fault)
+                )
+        self._apply(state)
+
+    def _apply(self, state: TablesState) -> None:
+        changed = state.revision_id != self._state.revision_id
+        self._state = state
+        if not changed:
+            return
+        self._since = self._clock()
+        for name, pool in state.tables.pools.items():
+            if name in self._runners:
+                self._runners[name].configure(pool)
+            else:
+                self._runners[name] = self._make_runner(pool)
+        self._metrics.revision_offset.set(state.offset)
+        log_event(Event.TABLES_IN_FORCE, revision=state.revision_id, offset=state.offset)
+        self.on_change()
+
+    async def _keep_if_due(self, page: Page) -> None:
+        if self._state.kept_offset != self._kept_seen[0]:
+            self._kept_seen = (self._state.kept_offset, self._clock())
+        since_s = self._clock() - self._kept_seen[1]
+        due = needs_keep(self._state, page.first_offset, since_s, self._keep_interval_s)
+        keep = make_keep(self._state)
+        if not due or keep is None or not self.may_keep():
+            return
+        self._kept_seen = (self._kept_seen[0], self._clock())
+        match await self._log.append(TABLES_STREAM, encode_record(keep)):
+            case Ok(offset):
+                log_event(Event.TABLES_KEPT, offset=offset, revision=self._state.revision_id)
+            case Err(failure):
+                self._note_failure(failure.error)
+
+    def _note_failure(self, error: StepError) -> None:
+        self.log_reachable = False
+        self._metrics.log_errors.labels(error.step).inc()
+        log_event(Event.TABLES_READ_FAILED, level="warning", error=str(error))
--- /dev/null
+++ b/packages/daemon/src/fireflybridge_daemon/_daemon.py
@@ -0,0 +1,264 @@
+"""Composition root: builds the parts of a daemon, runs and drains them."""
+
+import signal
+import time
+from pathlib import Path
+from typing import Any
+
+import anyio
+from anyio.abc import TaskGroup
+
+from fireflybridge_claims import PrefixBook, RegistrarLimits
+from fireflybridge_core import Cause, NotRun, Outcome, Problem, Task, make_incarnation
+from fireflybridge_daemon._claiming import Claims
+from fireflybridge_daemon._configuration import Configuration
+from fireflybridge_daemon._forwarding import Forwarding
+from fireflybridge_daemon._jobs import JobBook
+from fireflybridge_daemon._mover import Mover
+from fireflybridge_daemon._peering import Handlers, Peering
+from fireflybridge_daemon._pools import PoolHooks, PoolRunner
+from fireflybridge_daemon._settings import Settings
+from fireflybridge_daemon._submissions import Identity, Submissions
+from fireflybridge_front import CallersApp, OperatorsApp, serve_app
+from fireflybridge_peers import LinkSettings
+from fireflybridge_platform import HttpHostList, HttpLog
+from fireflybridge_tables import Pool
+from fireflybridge_telemetry import Event, Metrics, log_event
+
+HOUSEKEEPING_S = 0.25
+# After the drain the last answers still have to reach their callers.
+ANSWER_GRACE_S = 2.0
+DEFAULT_KEEP_INTERVAL_S = 300.0
+BYTES_PER_MB = 1024 * 1024
+
+
+class Daemon:
+    """Own the parts of one daemon and wire them together."""
+
+    def __init__(self, settings: Settings, log: HttpLog, group: TaskGroup) -> None:
+        self.settings = settings
+        self.incarnation = make_incarnation()
+        self.metrics = Metrics()
+        self._group = group
+        self._ready = False
+        self._hooks = PoolHooks(self._deliver, self._is_wanted)
+        keep_s = settings.log_retention_s / 2 or DEFAULT_KEEP_INTERVAL_S
+        self.configuration = Configuration(log, self._make_runner, keep_s, self.metrics)
+        self.peering = Peering(
+            self._make_link_settings(),
+            settings.failure_domain,
+            self.configuration,
+            group,
+            self.metrics,
+        )
+        self.book = JobBook(
+            time.monotonic, settings.retention_s, settings.max_kept_mb * BYTES_PER_MB
+        )
+        self.claims = Claims(
+            log, self.incarnation, self._make_limits(), self.peering, group, self.metrics
+        )
+        self.forwarding = Forwarding(self.peering, group)
+        self.mover = Mover(self.peering, self._deliver_local, self.metrics)
+        self.submissions = Submissions(
+            Identity(self.incarnation, settings.retention_s),
+            self.book,
+            PrefixBook(self.incarnation, settings.prefix_lifetime_s),
+            self.configuration,
+            self.claims,
+            self.forwarding,
+            group,
+            self.metrics,
+            self.mover.offer,
+        )
+        self.configuration.on_change = self.peering.update_ownership
+        # The registrar of shard 0 also re-records the tables, so that one daemon does it.
+        self.configuration.may_keep = lambda: not self.peering.find_registrar(0)
+
+    def render_metrics(self) -> bytes:
+        """Return the metrics in text form."""
+        self._update_gauges()
+        return self.metrics.render()
+
+    def is_ready(self) -> bool:
+        """Tell whether the balancer may send requests."""
+        return self._ready and self.configuration.loaded
+
+    def describe_status(self) -> dict[str, Any]:
+        """Return the daemon's status as JSON data."""
+        state = self.configuration.state
+        return {
+            "name": self.settings.name,
+            "incarnation": self.incarnation,
+            "failure_domain": self.settings.failure_domain,
+            "state": str(self.peering.state),
+            "ready": self.is_ready(),
+            "tables_revision": state.revision_id,
+            "tables_offset": state.offset,
+            "tables_age_s": round(self.configuration.age_s, 3),
+            "tables_fault": repr(state.last_fault) if state.last_fault else None,
+            "log_reachable": self.configuration.log_reachable,
+            "submissions_running": self.book.running,
+            "submissions_kept": len(self.book),
+            "claims_remembered": self.claims.remembered,
+            "peers": self.peering.describe_peers(),
+            "pools": [
+                {
+                    "name": runner.pool.name,
+                    "queued": runner.queue.queued,
+                    "free_slots": runner.queue.free,
+                    "running": runner.running,
+                    "owned": sorted(runner.owned),
+                }
+                for runner in self.configuration.runners
+            ],
+        }
+
+    async def start(self, hosts: HttpHostList) -> None:
+        """Start the tasks that follow the platform and the peers, and the operators' port."""
+        handlers = Handlers(self.claims, self.forwarding, self.mover, self.submissions)
+        self.peer_address = await self._group.start(self.peering.run, handlers)
+        self._group.start_soon(self.configuration.follow)
+        self._group.start_soon(self.peering.follow_hosts, hosts, self.settings.host_list_interval_s)
+        self._group.start_soon(self.peering.follow_time)
+        self._group.start_soon(self._keep_house)
+        self.operators_address = await self._group.start(
+            serve_app,
+            OperatorsApp(self),
+            self.settings.operators_address,
+            anyio.sleep_forever,
+            0.0,
+        )
+        self._ready = True
+
+    async def serve_callers(self, stop: anyio.Event, *, task_status: Any) -> None:
+        """Serve the callers' port until ``stop`` is set and open requests have ended."""
+        app = CallersApp(self.submissions, self._count_refusal)
+        await serve_app(
+            app,
+            self.settings.callers_address,
+            stop.wait,
+            self.settings.drain_timeout_s + ANSWER_GRACE_S,
+            task_status=task_status,
+        )
+
+    async def drain(self, hurry: anyio.Event) -> None:
+        """Finish everything accepted, at most for the drain timeout or until ``hurry`` is set."""
+        self._ready = False
+        log_event(Event.DRAIN_STARTED, running=self.book.running)
+        self.peering.drain()
+        with anyio.move_on_after(self.settings.drain_delay_s):
+            await hurry.wait()
+        self.submissions.stop_accepting()
+        async with anyio.create_task_group() as group:
+            group.start_soon(_cancel_when_set, hurry, group.cancel_scope)
+            with anyio.move_on_after(self.settings.drain_timeout_s):
+                await self.submissions.wait_idle()
+                await self.mover.wait_idle()
+            group.cancel_scope.cancel()
+        cut = self.submissions.cut()
+        if cut:
+            log_event(Event.DRAIN_CUT, level="warning", submissions=cut)
+
+    def _deliver(self, task: Task, outcome: Outcome) -> None:
+        if not self.mover.settle(task, outcome):
+            self.submissions.deliver(task, outcome)
+        self.mover.pull(task.pool)
+
+    def _deliver_local(self, task: Task, outcome: Outcome) -> bool:
+        return self.submissions.deliver(task, outcome)
+
+    def _is_wanted(self, task: Task) -> bool:
+        return self.mover.has_accepted(task) or self.submissions.is_wanted(task)
+
+    def _make_runner(self, pool: Pool) -> PoolRunner:
+        return PoolRunner(pool, self._group, self.metrics, self._hooks)
+
+    def _make_link_settings(self) -> LinkSettings:
+        key_file = self.settings.peer_key_file
+        return LinkSettings(
+            name=self.settings.name,
+            incarnation=self.incarnation,
+            listen=self.settings.peer_address,
+            key=Path(key_file).read_bytes().strip() if key_file else None,
+        )
+
+    def _make_limits(self) -> RegistrarLimits:
+        return RegistrarLimits(
+            retention_s=self.settings.retention_s,
+            log_retention_s=self.settings.log_retention_s,
+            claim_timeout_s=self.settings.claim_timeout_ms / 1000,
+        )
+
+    def _count_refusal(self, problem: Problem) -> None:
+        self.metrics.refusals.labels(str(problem)).inc()
+
+    async def _keep_house(self) -> None:
+        """Drop what has expired and offer what waits, at an interval, for ever."""
+        while True:
+            slept_at = time.monotonic()
+            await anyio.sleep(HOUSEKEEPING_S)
+            self.metrics.loop_lag.set(time.monotonic() - slept_at - HOUSEKEEPING_S)
+            self.book.expire()
+            self.configuration.retire_idle()
+            for runner in self.configuration.runners:
+                for task in runner.queue.expire():
+                    self._deliver(task, NotRun(Cause.DEADLINE_PASSED))
+                if not runner.owned:
+                    self.mover.return_queued(runner)
+                self.mover.offer(runner.pool.name)
+
+    def _update_gauges(self) -> None:
+        for runner in self.configuration.runners:
+            self.metrics.queued.labels(runner.pool.name).set(runner.queue.queued)
+            self.metrics.free_slots.labels(runner.pool.name).set(runner.queue.free)
+
+
+async def run_daemon(settings: Settings, announce: Any) -> int:
+    """Run a daemon until SIGTERM or SIGINT and return its exit code.
+
+    ``announce`` is called with the bound addresses by name once the daemon listens.
+    """
+    async with (
+        HttpLog(settings.platform_url) as log,
+        HttpHostList(settings.platform_url) as hosts,
+        anyio.create_task_group() as group,
+    ):
+        daemon = Daemon(settings, log, group)
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            await daemon.start(hosts)
+            async with anyio.create_task_group() as front:
+                stop, hurry = anyio.Event(), anyio.Event()
+                callers = await front.start(daemon.serve_callers, stop)
+                announce(
+                    {
+                        "callers": callers,
+                        "operators": daemon.operators_address,
+                        "peers": daemon.peer_address,
+                        "incarnation": daemon.incarnation,
+                    }
+                )
+                log_event(Event.DAEMON_STARTED, callers=callers)
+                await anext(signals)
+                front.start_soon(_set_on_signal, signals, hurry)
+                await daemon.drain(hurry)
+                stop.set()
+                await anyio.sleep(0)
+                front.start_soon(_cancel_after, front.cancel_scope, ANSWER_GRACE_S)
+        group.cancel_scope.cancel()
+    log_event(Event.DAEMON_STOPPED)
+    return 0
+
+
+async def _set_on_signal(signals: Any, event: anyio.Event) -> None:
+    await anext(signals)
+    event.set()
+
+
+async def _cancel_when_set(event: anyio.Event, scope: anyio.CancelScope) -> None:
+    await event.wait()
+    scope.cancel()
+
+
+async def _cancel_after(scope: anyio.CancelScope, seconds: float) -> None:
+    await anyio.sleep(seconds)
+    scope.cancel()
--- /dev/null
+++ b/packages/daemon/src/fireflybridge_daemon/_forwarding.py
@@ -0,0 +1,150 @@
+"""Submissions that only another daemon may start, and answers that it holds."""
+
+import itertools
+from collections.abc import Iterable
+from typing import Protocol
+
+import anyio
+from anyio.abc import TaskGroup
+from result import Err, Result
+
+from fireflybridge_core import (
+    Answer,
+    Problem,
+    Ran,
+    Refused,
+    Submission,
+)
+from fireflybridge_peers import Answer as AnswerMessage
+from fireflybridge_peers import Cancel, Fetch, Lost, Message, SendFailure
+
+# The executor answers at the submission's deadline; this much later it counts as unreachable.
+ANSWER_MARGIN_S = 2.0
+DEFAULT_WAIT_S = 60.0
+QUERY_WAIT_S = 2.0
+NO_DIGEST = b""
+
+
+class PeerDirectory(Protocol):
+    """Find peers by incarnation and send messages to them."""
+
+    def find_peer(self, incarnation: str) -> str | None:
+        """Return the name of the peer that runs as this incarnation."""
+
+    def list_peers(self) -> Iterable[str]:
+        """Return the names of the peers that are heard."""
+
+    def send(self, peer: str, message: Message) -> Result[None, SendFailure]:
+        """Queue a message to a peer."""
+
+
+class LocalAnswers(Protocol):
+    """Answer what peers ask."""
+
+    async def submit_forwarded(self, submission: Submission) -> Answer:
+        """Answer a submission that another daemon forwarded."""
+
+    async def fetch_local(self, key: str, wait_s: float) -> Answer | None:
+        """Return the answer of a submission here, ``None`` when it is unknown."""
+
+
+class Forwarding:
+    """Own the requests that wait for another daemon's answer."""
+
+    def __init__(self, directory: PeerDirectory, group: TaskGroup) -> None:
+        self._directory = directory
+        self._group = group
+        self._requests = itertools.count(1)
+        self._waiting: dict[int, _Waiter] = {}
+
+    async def forward(self, executor: str, submission: Submission, digest: bytes) -> Answer:
+        """Return the executor's answer, or a refusal when it can't be reached."""
+        peer = self._directory.find_peer(executor)
+        if peer is None:
+            detail = "the daemon that may start this key is gone; an earlier request may have run"
+            return Refused(Problem.EXECUTOR_GONE, Ran.MAY_HAVE_RUN, detail)
+        limit_s = (submission.deadline_s or DEFAULT_WAIT_S) + ANSWER_MARGIN_S
+        answer = await self._ask(peer, submission, digest, limit_s)
+        if answer is None:
+            detail = f"daemon {peer} did not answer; the submission may have run"
+            return Refused(Problem.EXECUTOR_UNREACHABLE, Ran.MAY_HAVE_RUN, detail)
+        return answer
+
+    async def query(self, key: str, wait_s: float) -> Answer:
+        """Return the answer that some other daemon holds for a key."""
+        found: list[Answer] = []
+        question = Submission(key, "", "", (), deadline_s=wait_s)
+        async with anyio.create_task_group() as group:
+            for peer in self._directory.list_peers():
+                group.start_soon(self._query_peer, peer, question, found, group.cancel_scope)
+        if found:
+            return found[0]
+        detail = "no daemon that was reached knows this key"
+        return Refused(Problem.UNKNOWN_KEY, Ran.MAY_HAVE_RUN, detail)
+
+    def cancel(self, key: str) -> None:
+        """Ask every peer to drop the submission's tasks that have not started."""
+        for peer in self._directory.list_peers():
+            self._directory.send(peer, Cancel((key,)))
+
+    def receive(self, message: AnswerMessage) -> None:
+        """Hand a peer's answer to the request that waits for it."""
+        waiter = self._waiting.get(message.request_id)
+        if waiter is not None:
+            waiter.answer = message.answer
+            waiter.answered.set()
+
+    def drop_peer(self, lost: Lost) -> None:
+        """Wake the requests that a vanished incarnation of a peer will not answer."""
+        for waiter in self._waiting.values():
+            if waiter.peer == lost.peer:
+                waiter.answered.set()
+
+    async def serve(self, peer: str, fetch: Fetch, local: LocalAnswers) -> None:
+        """Answer a peer's fetch."""
+        answer = await _find_answer(fetch, local)
+        if answer is not None:
+            self._directory.send(peer, AnswerMessage(fetch.request_id, answer))
+
+    async def _query_peer(
+        self, peer: str, question: Submission, found: list[Answer], scope: anyio.CancelScope
+    ) -> None:
+        limit_s = (question.deadline_s or 0.0) + QUERY_WAIT_S
+        answer = await self._ask(peer, question, NO_DIGEST, limit_s)
+        match answer:
+            case None | Refused(problem=Problem.NOT_FOUND):
+                return
+            case _:
+                found.append(answer)
+                scope.cancel()
+
+    async def _ask(
+        self, peer: str, submission: Submission, digest: bytes, limit_s: float
+    ) -> Answer | None:
+        request_id = next(self._requests)
+        waiter = _Waiter(peer)
+        self._waiting[request_id] = waiter
+        try:
+            if isinstance(self._directory.send(peer, Fetch(request_id, digest, submission)), Err):
+                return None
+            with anyio.move_on_after(limit_s):
+                await waiter.answered.wait()
+            return waiter.answer
+        finally:
+            del self._waiting[request_id]
+
+
+class _Waiter:
+    """Hold a request until the peer's answer arrives."""
+
+    def __init__(self, peer: str) -> None:
+        self.peer = peer
+        self.answered = anyio.Event()
+        self.answer: Answer | None = None
+
+
+async def _find_answer(fetch: Fetch, local: LocalAnswers) -> Answer | None:
+    if fetch.digest != NO_DIGEST:
+        return await local.submit_forwarded(fetch.submission)
+    answer = await local.fetch_local(fetch.submission.key, fetch.submission.deadline_s or 0.0)
+    return answer or Refused(Problem.NOT_FOUND, Ran.MAY_HAVE_RUN, "no record here")
--- /dev/null
+++ b/packages/daemon/src/fireflybridge_daemon/_mover.py
@@ -0,0 +1,281 @@
+"""Moves queued tasks to daemons with free slots, and results back."""
+
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from itertools import count
+from typing import Protocol
+
+import anyio
+from result import Err, Result
+
+from fireflybridge_core import Cause, Done, MayHaveRun, Outcome, Task, TaskId
+from fireflybridge_daemon._pools import PoolRunner
+from fireflybridge_peers import (
+    Assign,
+    Backlog,
+    Lost,
+    Message,
+    Pull,
+    Results,
+    Returned,
+    SendFailure,
+    TaskResult,
+    accept_task,
+    assign_task,
+)
+from fireflybridge_telemetry import Metrics
+
+# A Pull asks for this share of the own slots more than are free, so that a slot that ends a task
+# finds the next one here instead of waiting for a round trip between daemons.
+PREFETCH_SHARE = 0.125
+# Backlog goes to this many peers at once; the others learn of it from heartbeats.
+MAX_BACKLOG_PEERS = 8
+BACKLOG_INTERVAL_S = 0.02
+
+
+class Exchange(Protocol):
+    """Reach peers, and know how loaded they are."""
+
+    def send(self, peer: str, message: Message) -> Result[None, SendFailure]:
+        """Queue a message to a peer."""
+
+    def find_helpers(self, pool: str, limit: int) -> tuple[str, ...]:
+        """Return ready peers that own upstreams of a pool, those with free slots first."""
+
+    def find_runner(self, pool: str) -> PoolRunner | None:
+        """Return the runner of a pool."""
+
+
+@dataclass(frozen=True, slots=True)
+class Assigned:
+    """Note a local task that a peer runs."""
+
+    task: Task
+    peer: str
+    incarnation: str
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """Note a peer's task that runs here."""
+
+    peer: str
+    incarnation: str
+    assignment: int
+
+
+@dataclass(frozen=True, slots=True)
+class PeerPool:
+    """Identify a pool's queue at a peer."""
+
+    peer: str
+    pool: str
+
+
+class Mover:
+    """Own the tasks that are on their way between daemons.
+
+    A task handed to a peer comes back only if the peer says that it never started it, or if the
+    message that carried it was never sent.
+    """
+
+    def __init__(
+        self,
+        exchange: Exchange,
+        deliver: Callable[[Task, Outcome], bool],
+        metrics: Metrics,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._exchange = exchange
+        self._deliver = deliver
+        self._clock = clock
+        self._assigned: dict[TaskId, Assigned] = {}
+        self._accepted: dict[TaskId, Accepted] = {}
+        self._backlogs: dict[PeerPool, int] = {}
+        self._asked: dict[PeerPool, int] = {}
+        self._announced: dict[str, float] = {}
+        self._assignments = count(1)
+        self._cancelled: set[TaskId] = set()
+        self._emptied = anyio.Event()
+        self._moved_out = metrics.moved.labels("out")
+        self._moved_in = metrics.moved.labels("in")
+        self._wasted = metrics.wasted_messages
+
+    async def wait_idle(self) -> None:
+        """Wait until no peer's task is left here."""
+        while self._accepted:
+            self._emptied = anyio.Event()
+            await self._emptied.wait()
+
+    def has_accepted(self, task: Task) -> bool:
+        """Tell whether a task belongs to a peer and was not cancelled by it."""
+        return task.id in self._accepted and task.id not in self._cancelled
+
+    def settle(self, task: Task, outcome: Outcome) -> bool:
+        """Send the outcome of a peer's task back; return False for a local task."""
+        accepted = self._accepted.pop(task.id, None)
+        if accepted is None:
+            return False
+        self._cancelled.discard(task.id)
+        if not self._accepted:
+            self._emptied.set()
+        result = TaskResult(task.id, accepted.assignment, outcome)
+        self._exchange.send(accepted.peer, Results((result,)))
+        return True
+
+    def offer(self, pool: str) -> None:
+        """Tell peers about queued tasks that no own slot is free for."""
+        runner = self._exchange.find_runner(pool)
+        now = self._clock()
+        if runner is None or runner.queue.queued == 0:
+            return
+        if now - self._announced.get(pool, 0.0) < BACKLOG_INTERVAL_S:
+            return
+        self._announced[pool] = now
+        for peer in self._exchange.find_helpers(pool, MAX_BACKLOG_PEERS):
+            self._exchange.send(peer, Backlog(pool, runner.queue.queued))
+
+    def note_backlog(self, peer: str, pool: str, queued: int) -> None:
+        """Remember how many tasks a peer has queued, and pull some if slots are free."""
+        place = PeerPool(peer, pool)
+        if queued:
+            self._backlogs[place] = queued
+            self.pull(pool)
+        else:
+            self._backlogs.pop(place, None)
+
+    def pull(self, pool: str) -> None:
+        """Ask the peer with the longest queue for as many tasks as slots can take."""
+        runner = self._exchange.find_runner(pool)
+        if runner is None or not runner.owned:
+            return
+        waiting = {
+            place: queued
+            for place, queued in self._backlogs.items()
+            if place.pool == pool and place not in self._asked
+        }
+        if not waiting:
+            return
+        local = runner.local_slots
+        prefetch = max(1, int(local * PREFETCH_SHARE))
+        asked = sum(slots for place, slots in self._asked.items() if place.pool == pool)
+        room = local - runner.running - runner.queue.queued - asked + prefetch
+        if room < prefetch:
+            return
+        place = max(waiting, key=lambda candidate: waiting[candidate])
+        if isinstance(self._exchange.send(place.peer, Pull(pool, room)), Err):
+            del self._backlogs[place]
+            return
+        self._asked[place] = room
+
+    def answer_pull(self, peer: str, incarnation: str, pull: Pull) -> None:
+        """Hand queued tasks to a peer; an empty assignment says that there are none."""
+        runner = self._exchange.find_runner(pull.pool)
+        tasks = runner.queue.take_batch(pull.slots) if runner is not None else ()
+        if not tasks:
+            self._wasted.inc()
+        assignment = next(self._assignments)
+        now = self._clock()
+        message = Assign(assignment, pull.pool, tuple(assign_task(task, now) for task in tasks))
+        for task in tasks:
+            self._assigned[task.id] = Assigned(task, peer, incarnation)
+        self._moved_out.inc(len(tasks))
+        if isinstance(self._exchange.send(peer, message), Err):
+            self._take_back(task.id for task in tasks)
+
+    def accept(self, peer: str, incarnation: str, message: Assign) -> None:
+        """Queue a peer's tasks here."""
+        place = PeerPool(peer, message.pool)
+        self._asked.pop(place, None)
+        if not message.tasks:
+            self._backlogs.pop(place, None)
+            return
+        if place in self._backlogs:
+            self._backlogs[place] -= len(message.tasks)
+            if self._backlogs[place] <= 0:
+                del self._backlogs[place]
+        runner = self._exchange.find_runner(message.pool)
+        if runner is None or not runner.owned:
+            self._exchange.send(peer, Returned(tuple(task.id for task in message.tasks)))
+            return
+        now = self._clock()
+        tasks = tuple(accept_task(task, now) for task in message.tasks)
+        for task in tasks:
+            self._accepted[task.id] = Accepted(peer, incarnation, message.assignment)
+        self._moved_in.inc(len(tasks))
+        runner.queue.put(tasks)
+
+    def receive_results(self, peer: str, message: Results) -> None:
+        """Deliver the outcomes of tasks that a peer ran."""
+        for result in message.results:
+            assigned = self._assigned.get(result.id)
+            if assigned is None or assigned.peer != peer:
+                continue
+            del self._assigned[result.id]
+            self._finish(assigned.task, result.outcome)
+
+    def receive_returned(self, peer: str, message: Returned) -> None:
+        """Queue tasks again that a peer never started."""
+        self._take_back(
+            task_id
+            for task_id in message.ids
+            if task_id in self._assigned and self._assigned[task_id].peer == peer
+        )
+
+    def cancel_accepted(self, peer: str, keys: tuple[str, ...]) -> None:
+        """Drop a peer's tasks that have not started here."""
+        wanted = frozenset(keys)
+        for task_id, accepted in self._accepted.items():
+            if task_id.key in wanted and accepted.peer == peer:
+                self._cancelled.add(task_id)
+
+    def return_queued(self, runner: PoolRunner) -> None:
+        """Give back the peers' tasks that wait in a queue whose slots this daemon gives up."""
+        keys = {task_id.key for task_id in self._accepted}
+        for task in (task for key in keys for task in runner.queue.cancel(key)):
+            accepted = self._accepted.pop(task.id, None)
+            if accepted is not None:
+                self._exchange.send(accepted.peer, Returned((task.id,)))
+            else:
+                runner.queue.put((task,))
+
+    def drop_peer(self, lost: Lost) -> None:
+        """Settle what a vanished incarnation of a peer leaves behind.
+
+        Tasks in messages that were never sent return to the queue. All others may have run.
+        """
+        unsent = frozenset(
+            task.id
+            for message in lost.unsent
+            if isinstance(message, Assign)
+            for task in message.tasks
+        )
+        gone = [
+            task_id
+            for task_id, assigned in self._assigned.items()
+            if assigned.peer == lost.peer and assigned.incarnation in (lost.incarnation, "")
+        ]
+        self._take_back(task_id for task_id in gone if task_id in unsent)
+        for task_id in gone:
+            if task_id not in unsent:
+                assigned = self._assigned.pop(task_id)
+                self._finish(assigned.task, MayHaveRun(Cause.PEER_LOST, lost.peer))
+        for places in (self._backlogs, self._asked):
+            for place in [place for place in places if place.peer == lost.peer]:
+                del places[place]
+
+    def _finish(self, task: Task, outcome: Outcome) -> None:
+        runner = self._exchange.find_runner(task.pool)
+        if runner is not None:
+            run_s = outcome.run_s if isinstance(outcome, Done) else 0.0
+            runner.queue.finish(task, outcome, run_s)
+        self._deliver(task, outcome)
+
+    def _take_back(self, task_ids: Iterable[TaskId]) -> None:
+        for task_id in tuple(task_ids):
+            task = self._assigned.pop(task_id).task
+            runner = self._exchange.find_runner(task.pool)
+            last = runner.queue.put_back(task) if runner is not None else None
+            if last is not None:
+                self._deliver(task, last)
--- /dev/null
+++ b/packages/daemon/src/fireflybridge_daemon/_peering.py
@@ -0,0 +1,305 @@
+"""Other daemons: links, membership, and the messages that arrive from them."""
+
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+import anyio
+from anyio.abc import TaskGroup
+from result import Err, Ok, Result
+
+from fireflybridge_core import StepError
+from fireflybridge_daemon._claiming import Claims
+from fireflybridge_daemon._configuration import Configuration
+from fireflybridge_daemon._forwarding import Forwarding, LocalAnswers
+from fireflybridge_daemon._mover import Mover
+from fireflybridge_daemon._pools import PoolRunner
+from fireflybridge_membership import (
+    Applied,
+    DaemonState,
+    MemberKind,
+    MemberRecord,
+    Membership,
+    PeerReport,
+    Resource,
+)
+from fireflybridge_peers import (
+    Answer,
+    Assign,
+    Backlog,
+    Cancel,
+    ClaimReply,
+    ClaimRequest,
+    Fetch,
+    Heartbeat,
+    LinkCallbacks,
+    LinkSettings,
+    Lost,
+    Message,
+    PeerLinks,
+    PeerState,
+    PoolLoad,
+    Pull,
+    Results,
+    Returned,
+    SendFailure,
+    Stalled,
+    TablesHave,
+    TablesSend,
+)
+from fireflybridge_platform import Host, HostList, HostRole, HostState
+from fireflybridge_telemetry import Event, Metrics, log_event
+
+TICK_S = 0.25
+
+
+@dataclass(frozen=True, slots=True)
+class Handlers:
+    """Name the parts that handle messages from peers."""
+
+    claims: Claims
+    forwarding: Forwarding
+    mover: Mover
+    submissions: LocalAnswers
+
+
+class Peering:
+    """Own the links to the other daemons and this daemon's view of who is live."""
+
+    def __init__(
+        self,
+        settings: LinkSettings,
+        failure_domain: str,
+        configuration: Configuration,
+        group: TaskGroup,
+        metrics: Metrics,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._name = settings.name
+        self._incarnation = settings.incarnation
+        self._failure_domain = failure_domain
+        self._configuration = configuration
+        self._group = group
+        self._metrics = metrics
+        self._clock = clock
+        self._membership = Membership(settings.name, failure_domain, clock())
+        self._beats: dict[str, Heartbeat] = {}
+        self._connected: dict[str, str] = {}
+        self._handlers: Handlers | None = None
+        callbacks = LinkCallbacks(
+            handle=self._handle,
+            build_heartbeat=self._build_heartbeat,
+            lost=self._drop_peer,
+            stalled=self._note_stalled,
+            report=self._report_fault,
+        )
+        self._links = PeerLinks(settings, callbacks)
+
+    @property
+    def state(self) -> DaemonState:
+        """Return the state that heartbeats announce."""
+        return self._membership.state
+
+    async def run(self, handlers: Handlers, *, task_status: anyio.abc.TaskStatus[str]) -> None:
+        """Serve the links until cancelled; report the listening address."""
+        self._handlers = handlers
+        await self._links.run(task_status=task_status)
+
+    async def follow_hosts(self, hosts: HostList, interval_s: float) -> None:
+        """Read the platform's host list at an interval, for ever."""
+        while True:
+            match await hosts.list_hosts():
+                case Ok(listed):
+                    self._apply_hosts(listed)
+                case Err(error):
+                    log_event(Event.HOST_LIST_FAILED, level="warning", error=str(error))
+            await anyio.sleep(interval_s)
+
+    async def follow_time(self) -> None:
+        """Update ownership as peers are lost and tenures begin, for ever."""
+        while True:
+            await anyio.sleep(TICK_S)
+            self._membership.tick(self._clock())
+            self.update_ownership()
+
+    def update_ownership(self) -> None:
+        """Serve exactly the upstreams that this daemon owns now."""
+        now = self._clock()
+        runners = self._configuration.runners
+        self._membership.set_upstreams(
+            (
+                Resource(upstream.name, upstream.failure_domain, upstream.address)
+                for runner in runners
+                for upstream in runner.pool.upstreams
+            ),
+            now,
+        )
+        owned = {(r.name, r.address) for r in self._membership.list_upstreams(now)}
+        leaving = self._membership.view(now).leaving_upstreams
+        for runner in runners:
+            staying = [
+                upstream
+                for upstream in runner.pool.upstreams
+                if leaving.isdisjoint((upstream.name, upstream.address))
+            ]
+            mine = [u for u in staying if (u.name, u.address) in owned]
+            runner.own(mine, sum(upstream.slots for upstream in staying))
+
+    def drain(self) -> None:
+        """Give up every upstream and shard to the other daemons."""
+        self._membership.drain(self._clock())
+        self.update_ownership()
+
+    def send(self, peer: str, message: Message) -> Result[None, SendFailure]:
+        """Queue a message to a peer."""
+        self._metrics.messages.labels("out", type(message).__name__).inc()
+        return self._links.send(peer, message)
+
+    def find_registrar(self, shard: int) -> str:
+        """Return the name of the daemon that owns the shard; empty for this daemon."""
+        owner = self._membership.find_registrar(shard, self._clock())
+        return "" if owner is None or owner == self._name else owner
+
+    def find_peer(self, incarnation: str) -> str | None:
+        """Return the name of the live peer that runs as this incarnation."""
+        return next(
+            (name for name, beat in self._list_beats() if beat.incarnation == incarnation), None
+        )
+
+    def list_peers(self) -> Iterable[str]:
+        """Return the names of the peers that are heard."""
+        return tuple(name for name, _ in self._list_beats())
+
+    def find_helpers(self, pool: str, limit: int) -> tuple[str, ...]:
+        """Return ready peers that serve a pool, those with the most free slots first."""
+        free = {
+            name: load.free_slots
+            for name, beat in self._list_beats()
+            for load in beat.pools
+            if load.pool == pool and beat.state is PeerState.READY
+        }
+        return tuple(sorted(free, key=lambda name: -free[name])[:limit])
+
+    def find_runner(self, pool: str) -> PoolRunner | None:
+        """Return the runner of a pool."""
+        return self._configuration.find_runner(pool)
+
+    def describe_peers(self) -> list[dict[str, object]]:
+        """Return each heard peer as JSON data."""
+        return [
+            {
+                "name": name,
+                "incarnation": beat.incarnation,
+                "failure_domain": beat.failure_domain,
+                "state": str(beat.state),
+                "tables_revision": beat.tables_revision,
+            }
+            for name, beat in self._list_beats()
+        ]
+
+    def _list_beats(self) -> list[tuple[str, Heartbeat]]:
+        live = self._membership.list_live(self._clock())
+        return [(d.name, self._beats[d.name]) for d in live if d.name in self._beats]
+
+    def _apply_hosts(self, hosts: tuple[Host, ...]) -> None:
+        records = tuple(
+            MemberRecord(
+                name=host.name,
+                kind=MemberKind.DAEMON if host.role is HostRole.ENTRY else MemberKind.UPSTREAM,
+                leaving=host.state is HostState.LEAVING,
+                failure_domain=host.failure_domain,
+                address=host.address,
+            )
+            for host in hosts
+        )
+        verdict = self._membership.apply_list(records, self._clock())
+        if not isinstance(verdict, Applied):
+            log_event(Event.HOST_LIST_IGNORED, level="warning", verdict=repr(verdict))
+            return
+        wanted = {peer.name: peer.address for peer in self._membership.list_peers()}
+        for name in self._connected.keys() - wanted.keys():
+            self._links.disconnect(name)
+        for name, address in wanted.items():
+            self._links.connect(name, address)
+        self._connected = wanted
+        self.update_ownership()
+
+    def _build_heartbeat(self, peer: str) -> Heartbeat:
+        return Heartbeat(
+            name=self._name,
+            incarnation=self._incarnation,
+            failure_domain=self._failure_domain,
+            state=PeerState(self._membership.state.value),
+            tables_revision=self._configuration.state.revision_id,
+            log_reachable=self._configuration.log_reachable,
+            pools=tuple(
+                PoolLoad(runner.pool.name, runner.queue.queued, runner.queue.free)
+                for runner in self._configuration.runners
+                if runner.owned or runner.queue.queued
+            ),
+        )
+
+    async def _handle(self, peer: str, incarnation: str, message: Message) -> None:
+        """Hand a message to its part; parts that wait get a task of their own."""
+        self._metrics.messages.labels("in", type(message).__name__).inc()
+        parts = self._handlers
+        if parts is None:
+            return
+        match message:
+            case Heartbeat():
+                self._hear(peer, message, parts)
+            case Backlog(pool=pool, count=count):
+                parts.mover.note_backlog(peer, pool, count)
+            case Pull():
+                parts.mover.answer_pull(peer, incarnation, message)
+            case Assign():
+                parts.mover.accept(peer, incarnation, message)
+            case Results():
+                parts.mover.receive_results(peer, message)
+            case Returned():
+                parts.mover.receive_returned(peer, message)
+            case Cancel(keys=keys):
+                parts.mover.cancel_accepted(peer, keys)
+            case ClaimRequest():
+                self._group.start_soon(parts.claims.serve, peer, message)
+            case ClaimReply():
+                parts.claims.receive(peer, message)
+            case Fetch():
+                self._group.start_soon(parts.forwarding.serve, peer, message, parts.submissions)
+            case Answer():
+                parts.forwarding.receive(message)
+            case TablesHave():
+                answer = self._configuration.answer_peer(message)
+                if answer is not None:
+                    self.send(peer, answer)
+            case TablesSend():
+                self._configuration.adopt(message)
+
+    def _hear(self, peer: str, beat: Heartbeat, parts: Handlers) -> None:
+        known = self._beats.get(peer)
+        if known is None or known.incarnation != beat.incarnation:
+            log_event(Event.PEER_FOUND, peer=peer, incarnation=beat.incarnation)
+        self._beats[peer] = beat
+        report = PeerReport(
+            peer, beat.incarnation, beat.failure_domain, DaemonState(beat.state.value)
+        )
+        self._membership.hear(report, self._clock())
+        for load in beat.pools:
+            parts.mover.note_backlog(peer, load.pool, load.queued)
+        configuration = self._configuration
+        differs = beat.tables_revision not in ("", configuration.state.revision_id)
+        if differs and not configuration.log_reachable:
+            self.send(peer, configuration.describe())
+
+    def _drop_peer(self, lost: Lost) -> None:
+        self._metrics.peers_lost.inc()
+        log_event(Event.PEER_LOST, level="warning", peer=lost.peer, incarnation=lost.incarnation)
+        if self._handlers is not None:
+            self._handlers.mover.drop_peer(lost)
+            self._handlers.forwarding.drop_peer(lost)
+
+    def _note_stalled(self, stalled: Stalled) -> None:
+        log_event(Event.PEER_STALLED, level="warning", peer=stalled.peer)
+
+    def _report_fault(self, error: StepError) -> None:
+        log_event(Event.PEER_MESSAGE_REJECTED, level="warning", error=str(error))
--- /dev/null
+++ b/packages/daemon/src/fireflybridge_daemon/_pools.py
@@ -0,0 +1,202 @@
+"""Slots of the upstreams that this daemon owns: one task for each connection."""
+
+import random
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+import anyio
+from anyio.abc import TaskGroup
+
+from fireflybridge_core import Cause, Done, MayHaveRun, NotRun, Outcome, Task
+from fireflybridge_dispatch import Ejected, Open, PoolQueue, Probe, RetryBudget, UpstreamHealth
+from fireflybridge_tables import Pool, Upstream
+from fireflybridge_telemetry import Event, Metrics, log_event
+from fireflybridge_upstream import UpstreamConnection
+
+MIN_RETRY_DELAY_S = 0.01
+MAX_RETRY_DELAY_S = 0.05
+FIRST_SERVER_ERROR_STATUS = 500
+
+Deliver = Callable[[Task, Outcome], None]
+IsWanted = Callable[[Task], bool]
+
+
+@dataclass(frozen=True, slots=True)
+class PoolHooks:
+    """Connect a pool to the daemon: where outcomes go, and whether a task is still wanted."""
+
+    deliver: Deliver
+    is_wanted: IsWanted
+
+
+class _Tenure:
+    """Hold the ownership of one upstream until it ends; slots finish what they have started."""
+
+    def __init__(self, upstream: Upstream) -> None:
+        self.upstream = upstream
+        self.ended = False
+        self.waiting: set[anyio.CancelScope] = set()
+
+    def end(self) -> None:
+        """End the ownership and wake the slots that wait for a task."""
+        self.ended = True
+        for scope in tuple(self.waiting):
+            scope.cancel()
+
+
+class PoolRunner:
+    """Run the slots of one pool's owned upstreams against the pool's queue."""
+
+    def __init__(self, pool: Pool, group: TaskGroup, metrics: Metrics, hooks: PoolHooks) -> None:
+        self.pool = pool
+        self.queue = PoolQueue(pool, time.monotonic)
+        self.budget = RetryBudget(time.monotonic)
+        self._health = UpstreamHealth(pool, time.monotonic)
+        self._group = group
+        self._hooks = hooks
+        self._tenures: dict[str, _Tenure] = {}
+        self._running = 0
+        self._jitter = random.Random()
+        self._outcomes = {
+            kind: metrics.outcomes.labels(pool.name, kind.__name__)
+            for kind in (Done, NotRun, MayHaveRun)
+        }
+        self._starts = metrics.starts.labels(pool.name)
+        self._retries = metrics.retries.labels(pool.name)
+        self._ownership = metrics.ownership
+
+    @property
+    def running(self) -> int:
+        """Return how many tasks are at upstreams now."""
+        return self._running
+
+    @property
+    def local_slots(self) -> int:
+        """Return how many slots the owned upstreams have together."""
+        return sum(t.upstream.slots for t in self._tenures.values())
+
+    @property
+    def owned(self) -> frozenset[str]:
+        """Return the names of the owned upstreams."""
+        return frozenset(self._tenures)
+
+    @property
+    def idle(self) -> bool:
+        """Tell whether nothing is queued or running."""
+        return self._running == 0 and self.queue.queued == 0
+
+    def configure(self, pool: Pool) -> None:
+        """Apply the pool of the tables in force."""
+        self.pool = pool
+        self.queue.configure(pool)
+        self._health.configure(pool)
+
+    def own(self, upstreams: Iterable[Upstream], total_slots: int) -> None:
+        """Start and end slots so that exactly these upstreams are served."""
+        wanted = {upstream.name: upstream for upstream in upstreams}
+        for name, tenure in tuple(self._tenures.items()):
+            if wanted.get(name) != tenure.upstream:
+                self._release(name)
+        for name in wanted.keys() - self._tenures.keys():
+            self._acquire(wanted[name])
+        self.queue.slots_changed(total_slots, sum(u.slots for u in wanted.values()))
+
+    def withdraw(self) -> None:
+        """End every ownership; requests in flight are finished."""
+        self.own((), 0)
+
+    def _acquire(self, upstream: Upstream) -> None:
+        tenure = _Tenure(upstream)
+        self._tenures[upstream.name] = tenure
+        for _ in range(min(upstream.slots, upstream.connections)):
+            self._group.start_soon(self._run_slot, tenure)
+        self._ownership.labels("acquired").inc()
+        log_event(Event.UPSTREAM_ACQUIRED, pool=self.pool.name, upstream=upstream.name)
+
+    def _release(self, name: str) -> None:
+        self._tenures.pop(name).end()
+        self._ownership.labels("released").inc()
+        log_event(Event.UPSTREAM_RELEASED, pool=self.pool.name, upstream=name)
+
+    async def _run_slot(self, tenure: _Tenure) -> None:
+        """Serve one slot: wait for a task, send it, deliver its outcome."""
+        upstream = tenure.upstream
+        connection = UpstreamConnection(upstream.name, upstream.address, guards=self.pool.guards)
+        try:
+            while not tenure.ended:
+                task = await self._wait_for_task(tenure)
+                if task is not None:
+                    outcome = await self._exchange(connection, task)
+                    self._health.record(upstream.name, outcome)
+                    self._settle(task, outcome)
+        finally:
+            await connection.close()
+
+    async def _wait_for_task(self, tenure: _Tenure) -> Task | None:
+        name = tenure.upstream.name
+        with anyio.CancelScope() as scope:
+            tenure.waiting.add(scope)
+            try:
+                match self._health.may_start(name):
+                    case Ejected(until=until):
+                        await anyio.sleep(max(0.0, until - time.monotonic()))
+                        return None
+                    case Open() | Probe():
+                        return await self._take(name)
+            finally:
+                tenure.waiting.discard(scope)
+        return None
+
+    async def _take(self, name: str) -> Task:
+        try:
+            return await self.queue.take(name)
+        except BaseException:
+            self._health.release(name)
+            raise
+
+    async def _exchange(self, connection: UpstreamConnection, task: Task) -> Outcome:
+        if not self._hooks.is_wanted(task):
+            return NotRun(Cause.CANCELLED)
+        self._running += 1
+        try:
+            self._starts.inc()
+            return await connection.exchange(task)
+        finally:
+            self._running -= 1
+
+    def _settle(self, task: Task, outcome: Outcome) -> None:
+        match outcome:
+            case NotRun(cause=Cause.CONNECT_FAILED | Cause.GUARD_REFUSED):
+                self._retries.inc()
+                last = self.queue.put_back(task)
+                if last is not None:
+                    self._deliver(task, last)
+            case _ if self._may_retry(task, outcome):
+                self.queue.finish(task, outcome, 0.0)
+                self._retries.inc()
+                self._group.start_soon(self._retry_later, task)
+            case Done(run_s=run_s):
+                self.queue.finish(task, outcome, run_s)
+                self._deliver(task, outcome)
+            case _:
+                self.queue.finish(task, outcome, 0.0)
+                self._deliver(task, outcome)
+
+    def _may_retry(self, task: Task, outcome: Outcome) -> bool:
+        """Tell whether an idempotent single request may be sent again."""
+        if not task.idempotent or time.monotonic() + MAX_RETRY_DELAY_S >= task.deadline:
+            return False
+        match outcome:
+            case MayHaveRun() | Done(status=500 | 502 | 503 | 504):
+                return self.budget.try_retry()
+            case _:
+                return False
+
+    async def _retry_later(self, task: Task) -> None:
+        await anyio.sleep(self._jitter.uniform(MIN_RETRY_DELAY_S, MAX_RETRY_DELAY_S))
+        self.queue.put((task,))
+
+    def _deliver(self, task: Task, outcome: Outcome) -> None:
+        self._outcomes[type(outcome)].inc()
+        self._hooks.deliver(task, outcome)
--- /dev/null
+++ b/packages/daemon/src/fireflybridge_daemon/_submissions.py
@@ -0,0 +1,453 @@
+"""Accept submissions, decide whether this daemon may start them, and answer them."""
+
+import itertools
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+import anyio
+from anyio.abc import TaskGroup
+from result import Err, Ok
+
+from fireflybridge_claims import (
+    AskExecutor,
+    Attempt,
+    ChosenKey,
+    Claim,
+    Decision,
+    Drop,
+    Join,
+    PrefixBook,
+    PrefixedKey,
+    PrefixExpired,
+    PrefixLive,
+    PrefixNeverIssued,
+    RefuseConflict,
+    RefuseMayHaveRun,
+    RefuseUnavailable,
+    Start,
+    StartDecision,
+    decide_start,
+    parse_key,
+)
+from fireflybridge_claims import (
+    Pending as PendingClaim,
+)
+from fireflybridge_core import (
+    Answer,
+    Cause,
+    Complete,
+    NotRun,
+    Outcome,
+    Pending,
+    Problem,
+    Ran,
+    Refused,
+    Submission,
+    Task,
+    TaskId,
+    digest_content,
+    hash_key,
+)
+from fireflybridge_daemon._jobs import Claiming, Given, Job, JobBook, Kept, Running
+from fireflybridge_daemon._pools import PoolRunner
+from fireflybridge_dispatch import Refused as NotAdmitted
+from fireflybridge_front import IssuedPrefix
+from fireflybridge_tables import Route
+from fireflybridge_telemetry import Metrics
+
+UNKEYED_PREFIX = "fbu-"
+LOG_DOWN_HINT = "use a key under a prefix from POST /v1/key-prefixes, which needs no log"
+
+
+class Claimer(Protocol):
+    """Decide claims of chosen keys."""
+
+    async def claim(self, claim: Claim) -> Decision:
+        """Return the decision on a claim."""
+
+
+class Forwarder(Protocol):
+    """Reach the daemon that alone may start a submission."""
+
+    async def forward(self, executor: str, submission: Submission, digest: bytes) -> Answer:
+        """Return the executor's answer, or a refusal when it can't be reached."""
+
+    async def query(self, key: str, wait_s: float) -> Answer:
+        """Return the answer that some other daemon holds for a key."""
+
+    def cancel(self, key: str) -> None:
+        """Cancel the tasks of a submission that other daemons have not started."""
+
+
+class Catalogue(Protocol):
+    """Look up the tables in force."""
+
+    @property
+    def loaded(self) -> bool:
+        """Tell whether any tables are in force."""
+
+    def find(self, route: str) -> tuple[Route, PoolRunner] | None:
+        """Return a route in force with the runner of its pool."""
+
+    def find_runner(self, pool: str) -> PoolRunner | None:
+        """Return the runner of a pool, also of one that has left the tables."""
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """Name this run of the daemon and its time limits in seconds."""
+
+    incarnation: str
+    retention_s: float
+
+
+class Submissions:
+    """Own the submissions that this daemon executes; the callers' front calls it."""
+
+    def __init__(
+        self,
+        identity: Identity,
+        book: JobBook,
+        prefixes: PrefixBook,
+        catalogue: Catalogue,
+        claimer: Claimer,
+        forwarder: Forwarder,
+        group: TaskGroup,
+        metrics: Metrics,
+        offer: Callable[[str], None],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._identity = identity
+        self._book = book
+        self._prefixes = prefixes
+        self._catalogue = catalogue
+        self._claimer = claimer
+        self._forwarder = forwarder
+        self._group = group
+        self._metrics = metrics
+        self._offer = offer
+        self._clock = clock
+        self._attempts = itertools.count(1)
+        self._unkeyed = itertools.count(1)
+        self._draining = False
+
+    async def submit(self, submission: Submission) -> Answer:
+        """Accept a submission and return its answer once it has one."""
+        return await _await_answer(await self._open(submission, forwarded=False))
+
+    async def submit_forwarded(self, submission: Submission) -> Answer:
+        """Answer a submission that another daemon forwarded, without forwarding it again."""
+        return await _await_answer(await self._open(submission, forwarded=True))
+
+    async def start(self, submission: Submission) -> Answer:
+        """Accept a submission and return ``Pending`` unless it has an answer already."""
+        opened = await self._open(submission, forwarded=False)
+        return Pending() if isinstance(opened, Job) else opened
+
+    async def fetch(self, key: str, wait_s: float) -> Answer:
+        """Return the answer of a submission here or at another daemon."""
+        local = await self.fetch_local(key, wait_s)
+        return await self._forwarder.query(key, wait_s) if local is None else local
+
+    async def fetch_local(self, key: str, wait_s: float) -> Answer | None:
+        """Return the answer of a submission here, ``None`` when this daemon does not know it."""
+        match self._book.find(key):
+            case Kept(answer=answer):
+                return answer
+            case Running(job=job):
+                with anyio.move_on_after(wait_s):
+                    await job.finished.wait()
+                return job.answer or Pending()
+            case Claiming():
+                return Pending()
+            case Given():
+                return Refused(Problem.UNKNOWN_KEY, Ran.NOT_RUN, "no attempt was started")
+            case None:
+                return None
+
+    async def cancel(self, key: str) -> Answer:
+        """Cancel the tasks that have not started; started ones still end with an outcome."""
+        match self._book.find(key):
+            case Running(job=job):
+                self._cancel_job(key, job)
+                return job.answer or Pending()
+            case _:
+                return await self.fetch(key, 0.0)
+
+    def issue_prefix(self) -> IssuedPrefix | Refused:
+        """Return a prefix for keys that only this daemon may start."""
+        if self._draining:
+            return Refused(Problem.DRAINING, Ran.NOT_RUN, "this daemon is shutting down")
+        match self._prefixes.issue(self._clock()):
+            case Ok(issued):
+                return IssuedPrefix(issued.text, issued.lifetime_s)
+            case Err(error):
+                return Refused(Problem.OVERLOADED, Ran.NOT_RUN, str(error), 1.0)
+
+    def deliver(self, task: Task, outcome: Outcome) -> bool:
+        """Store a task's outcome; return False when no open job here waits for it."""
+        return self._book.deliver(task.id, outcome)
+
+    def is_wanted(self, task: Task) -> bool:
+        """Tell whether a local task still waits for its outcome."""
+        match self._book.find(task.id.key):
+            case Running(job=job):
+                return job.is_open(task.id.index)
+            case _:
+                return False
+
+    def stop_accepting(self) -> None:
+        """Refuse new submissions from now on."""
+        self._draining = True
+
+    async def wait_idle(self) -> None:
+        """Wait until every accepted submission has its answer."""
+        while jobs := self._book.find_jobs():
+            for job in jobs:
+                await job.finished.wait()
+            await anyio.lowlevel.checkpoint()
+
+    def cut(self) -> int:
+        """End every open job with a truthful answer; return how many there were."""
+        jobs = self._book.find_jobs()
+        for job in jobs:
+            self._close_job(job, Cause.DRAINING)
+        return len(jobs)
+
+    async def _open(self, submission: Submission, *, forwarded: bool) -> Job | Answer:
+        """Find or start the job of a submission."""
+        if not submission.key:
+            return self._open_unkeyed(submission)
+        if submission.key.startswith(UNKEYED_PREFIX):
+            detail = f"keys that start with {UNKEYED_PREFIX} are reserved"
+            return Refused(Problem.MALFORMED, Ran.NOT_RUN, detail)
+        digest = digest_submission(submission)
+        while isinstance(record := self._book.find(submission.key), Claiming):
+            await record.decided.wait()
+        match record:
+            case Running() | Kept() if record.digest != digest:
+                return refuse_conflict()
+            case Running(job=job):
+                return job
+            case Kept(answer=answer):
+                return answer
+            case _ if self._draining:
+                return Refused(Problem.DRAINING, self._judge_unseen(submission), "shutting down")
+            case Given(abandoned=abandoned):
+                return await self._open_unstarted(submission, digest, abandoned, forwarded)
+            case _:
+                return await self._open_unstarted(submission, digest, (), forwarded)
+
+    def _open_unkeyed(self, submission: Submission) -> Job | Answer:
+        if self._draining:
+            return Refused(Problem.DRAINING, Ran.NOT_RUN, "this daemon is shutting down")
+        key = f"{UNKEYED_PREFIX}{self._identity.incarnation}-{next(self._unkeyed)}"
+        return self._launch(key, b"", submission, attempt=0, keep_s=0.0)
+
+    async def _open_unstarted(
+        self,
+        submission: Submission,
+        digest: bytes,
+        abandoned: tuple[Attempt, ...],
+        forwarded: bool,
+    ) -> Job | Answer:
+        match parse_key(submission.key):
+            case PrefixedKey(incarnation=self._identity.incarnation) as key:
+                return self._open_prefixed(submission, digest, key)
+            case PrefixedKey(incarnation=issuer) if not forwarded:
+                return await self._forwarder.forward(issuer, submission, digest)
+            case PrefixedKey():
+                return refuse_gone(Problem.ISSUER_GONE, "the daemon that issued the prefix is gone")
+            case ChosenKey():
+                return await self._open_chosen(submission, digest, abandoned, forwarded)
+
+    def _open_prefixed(
+        self, submission: Submission, digest: bytes, key: PrefixedKey
+    ) -> Job | Answer:
+        match self._prefixes.check(key, self._clock()):
+            case PrefixLive(remaining_s=remaining_s):
+                return self._launch(
+                    submission.key, digest, submission, attempt=0, keep_s=remaining_s
+                )
+            case PrefixExpired():
+                return refuse_gone(Problem.KEY_EXPIRED, "the key's prefix has expired")
+            case PrefixNeverIssued():
+                detail = "this daemon never issued the key's prefix"
+                return Refused(Problem.UNKNOWN_KEY, Ran.NOT_RUN, detail)
+
+    async def _open_chosen(
+        self,
+        submission: Submission,
+        digest: bytes,
+        abandoned: tuple[Attempt, ...],
+        forwarded: bool,
+    ) -> Job | Answer:
+        key = submission.key
+        attempt = Attempt(next(self._attempts), self._clock())
+        decision = await self._claim(key, digest, attempt, abandoned)
+        pending = PendingClaim(self._identity.incarnation, attempt, abandoned)
+        decided = decide_start(pending, decision, self._clock(), self._identity.retention_s)
+        attempts = (attempt, *abandoned)
+        match decided:
+            case Start(attempt=number):
+                launched = self._launch(key, digest, submission, attempt=number, keep_s=0.0)
+                if isinstance(launched, Refused):
+                    self._book.note(key, Given(digest, attempts))
+                return launched
+            case RefuseUnavailable():
+                self._book.note(key, Given(digest, attempts))
+            case _:
+                self._book.forget(key)
+        return await self._refuse_or_forward(submission, digest, decided, forwarded)
+
+    async def _claim(
+        self, key: str, digest: bytes, attempt: Attempt, abandoned: tuple[Attempt, ...]
+    ) -> Decision:
+        """Ask for the claim; a caller that gives up leaves an abandoned attempt behind."""
+        claiming = Claiming(digest, attempt, abandoned, anyio.Event())
+        self._book.note(key, claiming)
+        claim = Claim(hash_key(key), digest, self._identity.incarnation, attempt.number)
+        try:
+            return await self._claimer.claim(claim)
+        finally:
+            # The caller of this method replaces the record before it waits again.
+            self._book.note(key, Given(digest, (attempt, *abandoned)))
+            claiming.decided.set()
+
+    async def _refuse_or_forward(
+        self, submission: Submission, digest: bytes, decided: StartDecision, forwarded: bool
+    ) -> Answer:
+        match decided:
+            case AskExecutor(executor=executor) if not forwarded:
+                return await self._forwarder.forward(executor, submission, digest)
+            case RefuseConflict():
+                return refuse_conflict()
+            case RefuseUnavailable(error=error, retry_after_s=retry_after_s):
+                detail = f"{error}; {LOG_DOWN_HINT}"
+                return Refused(Problem.LOG_UNAVAILABLE, Ran.MAY_HAVE_RUN, detail, retry_after_s)
+            case RefuseMayHaveRun() | AskExecutor() | Start() | Join() | Drop():
+                return refuse_gone(Problem.EXECUTOR_GONE, "an earlier attempt may have run")
+
+    def _launch(
+        self, key: str, digest: bytes, submission: Submission, *, attempt: int, keep_s: float
+    ) -> Job | Refused:
+        """Start the job, or refuse it because of tables, memory or admission."""
+        if not self._catalogue.loaded:
+            return Refused(Problem.NOT_READY, Ran.NOT_RUN, "no tables are in force yet", 1.0)
+        found = self._catalogue.find(submission.route)
+        if found is None:
+            detail = f"the tables in force have no route {submission.route!r}"
+            return Refused(Problem.UNKNOWN_ROUTE, Ran.NOT_RUN, detail)
+        if self._book.full:
+            return Refused(Problem.OVERLOADED, Ran.NOT_RUN, "answers fill the memory limit", 5.0)
+        route, runner = found
+        now = self._clock()
+        tasks = make_tasks(key, submission, route, now)
+        match runner.queue.admit(tasks):
+            case NotAdmitted(cause=cause, retry_after_s=retry_after_s):
+                return Refused(Problem.OVERLOADED, Ran.NOT_RUN, str(cause), retry_after_s)
+        job = Job(tasks, runner.pool.name, now, tasks[0].deadline)
+        self._book.start(key, Running(digest, attempt, job))
+        runner.budget.record_request()
+        self._group.start_soon(self._run_job, key, job, runner, keep_s)
+        return job
+
+    async def _run_job(self, key: str, job: Job, runner: PoolRunner, keep_s: float) -> None:
+        """Queue a job's tasks and see to it that the job has an answer at its deadline."""
+        runner.queue.put(job.tasks)
+        self._offer(job.pool)
+        with anyio.move_on_after(job.expires - self._clock()):
+            await job.finished.wait()
+        if job.answer is None:
+            self._close_job(job, Cause.DEADLINE_PASSED)
+        self._observe(job)
+        if key.startswith(UNKEYED_PREFIX):
+            self._book.finish(key, 0.0)
+            self._book.forget(key)
+        else:
+            self._book.finish(key, keep_s)
+
+    def _cancel_job(self, key: str, job: Job) -> None:
+        job.cancelled = True
+        runner = self._catalogue.find_runner(job.pool)
+        if runner is not None:
+            for task in runner.queue.cancel(key):
+                job.deliver(task.id.index, NotRun(Cause.CANCELLED))
+        self._forwarder.cancel(key)
+
+    def _close_job(self, job: Job, cause: Cause) -> None:
+        key = job.tasks[0].id.key
+        runner = self._catalogue.find_runner(job.pool)
+        queued: tuple[Task, ...] = runner.queue.cancel(key) if runner else ()
+        job.close((task.id for task in queued), cause)
+        self._forwarder.cancel(key)
+
+    def _observe(self, job: Job) -> None:
+        elapsed_s = self._clock() - job.accepted
+        state = type(job.answer).__name__.lower()
+        self._metrics.submissions.labels(job.pool, state).inc()
+        self._metrics.response_seconds.labels(job.pool).observe(elapsed_s)
+        match job.answer:
+            case Complete(outcomes=outcomes):
+                longest_s = max(outcome.run_s for outcome in outcomes)
+                if longest_s > 0:
+                    self._metrics.response.labels(job.pool).observe(elapsed_s / longest_s)
+
+    def _judge_unseen(self, submission: Submission) -> Ran:
+        """Return what is known of a key that this daemon has no record of."""
+        match parse_key(submission.key):
+            case PrefixedKey(incarnation=self._identity.incarnation):
+                return Ran.NOT_RUN
+            case _:
+                return Ran.MAY_HAVE_RUN
+
+
+def digest_submission(submission: Submission) -> bytes:
+    """Return the digest that tells a resubmission from other content under the same key."""
+    parts = itertools.chain.from_iterable(
+        (payload.content_type.encode(), payload.body) for payload in submission.payloads
+    )
+    return digest_content((submission.route.encode(), submission.team.encode(), *parts))
+
+
+def make_tasks(key: str, submission: Submission, route: Route, now: float) -> tuple[Task, ...]:
+    """Return the tasks of a submission accepted at ``now`` on the monotonic clock."""
+    allowed_s = submission.deadline_s or route.window_ms / 1000
+    return tuple(
+        Task(
+            id=TaskId(key, index),
+            route=route.name,
+            pool=route.pool,
+            path=route.path,
+            content_type=payload.content_type,
+            body=payload.body,
+            team=submission.team,
+            idempotent=route.idempotent and not submission.is_job,
+            expected_s=route.expected_ms / 1000,
+            timeout_s=route.timeout_ms / 1000,
+            deadline=now + allowed_s,
+            traceparent=submission.traceparent,
+        )
+        for index, payload in enumerate(submission.payloads)
+    )
+
+
+def refuse_conflict() -> Refused:
+    """Return the refusal of a key that belongs to other content."""
+    detail = "the key was used with other content; the earlier submission may have run"
+    return Refused(Problem.CONFLICT, Ran.MAY_HAVE_RUN, detail)
+
+
+def refuse_gone(problem: Problem, detail: str) -> Refused:
+    """Return the refusal of a submission that an unreachable or past executor may have run."""
+    return Refused(problem, Ran.MAY_HAVE_RUN, detail)
+
+
+async def _await_answer(opened: Job | Answer) -> Answer:
+    if not isinstance(opened, Job):
+        return opened
+    await opened.finished.wait()
+    assert opened.answer is not None
+    return opened.answer
--- a/packages/front/src/fireflybridge_front/_problems.py
+++ b/packages/front/src/fireflybridge_front/_problems.py
@@ -46,6 +46,7 @@
         "status": status,
         "detail": refused.detail,
         "ran": str(refused.ran),
+        "request_ran": str(Ran.NOT_RUN),
         **members,
     }
     headers = [(b"content-type", PROBLEM_CONTENT_TYPE)]
--- a/packages/telemetry/src/fireflybridge_telemetry/_events.py
+++ b/packages/telemetry/src/fireflybridge_telemetry/_events.py
@@ -25,11 +25,13 @@
     PEER_FOUND = (3003, "peer found")
     PEER_LOST = (3004, "peer lost")
     PEER_MESSAGE_REJECTED = (3005, "peer message rejected")
+    PEER_STALLED = (3006, "peer does not acknowledge messages")
     UPSTREAM_ACQUIRED = (4001, "upstream acquired")
     UPSTREAM_RELEASED = (4002, "upstream released")
     UPSTREAM_EJECTED = (4003, "upstream ejected")
     CLAIM_APPEND_FAILED = (5001, "claim append failed")
     CLAIM_RECORD_UNREADABLE = (5002, "claim record unreadable")
+    CLAIM_SHARD_REPORT = (5003, "claim shard report")
     REQUEST_FAILED = (6001, "request failed on an internal error")
 
     @property
--- a/packages/telemetry/src/fireflybridge_telemetry/_metrics.py
+++ b/packages/telemetry/src/fireflybridge_telemetry/_metrics.py
@@ -24,6 +24,9 @@
         self.messages = self._count(
             "peer_messages", "Messages between daemons.", "direction", "kind"
         )
+        self.wasted_messages = self._count(
+            "wasted_messages", "Messages between daemons that moved no task."
+        )
         self.log_errors = self._count("log_errors", "Failed calls of the platform's log.", "step")
         self.ownership = self._count(
             "ownership_changes", "Upstreams acquired or released.", "change"
