Add the fault-injecting TCP proxy

Cause: features need partitions, lost answers and cut connections between real processes, at a moment that the test chooses. Change: links with delay, drop, hold, refuse, reset, truncate and lost answer, set over HTTP and in force when the request returns. A connection that lost bytes is reset when its partition ends, since TCP never delivers the bytes after a gap.

--- a/features/support/__init__.py
+++ b/features/support/__init__.py
@@ -1,6 +1,7 @@
 """Helpers shared by the steps of every feature."""
 
 from support.control import send_control
+from support.platform import check_append, check_error, choose_limit, name_end, run_log
 from support.processes import (
     EXIT_LIMIT_S,
     READY_LIMIT_S,
@@ -8,12 +9,20 @@
     Program,
     wait_until,
 )
+from support.proxy import Proxy, start_proxy
 
 __all__ = [
     "EXIT_LIMIT_S",
     "READY_LIMIT_S",
     "Processes",
     "Program",
+    "Proxy",
+    "check_append",
+    "check_error",
+    "choose_limit",
+    "name_end",
+    "run_log",
     "send_control",
+    "start_proxy",
     "wait_until",
 ]
--- /dev/null
+++ b/standins/src/fireflybridge_standins/proxy/__init__.py
@@ -0,0 +1,29 @@
+"""Fault-injecting TCP proxy between the processes of a test.
+
+Run it with ``python -m fireflybridge_standins.proxy``. Each link has a listener and a target;
+faults are set for each link over HTTP. ``forward`` is from client to target.
+"""
+
+from fireflybridge_standins.proxy._faults import (
+    Delay,
+    Direction,
+    Drop,
+    Fault,
+    Hold,
+    LoseAnswer,
+    Refuse,
+    Truncate,
+)
+from fireflybridge_standins.proxy._link import Link
+
+__all__ = [
+    "Delay",
+    "Direction",
+    "Drop",
+    "Fault",
+    "Hold",
+    "Link",
+    "LoseAnswer",
+    "Refuse",
+    "Truncate",
+]
