--- a/packages/dispatch/src/fireflybridge_dispatch/_queue.py
+++ b/packages/dispatch/src/fireflybridge_dispatch/_queue.py
@@ -1,43 +1,81 @@
 """State of one pool's queue in one daemon."""
 
+import heapq
 from collections import deque
 from collections.abc import Callable, Sequence
+from itertools import count
+from typing import NamedTuple
 
-import anyio
-
-from fireflybridge_core import NotRun, Outcome, Task, TaskId
-from fireflybridge_dispatch._admission import Admission, Admitted, Refusal, Refused
+from fireflybridge_core import Cause, Done, MayHaveRun, NotRun, Outcome, Task, TaskId
+from fireflybridge_dispatch._admission import (
+    MAX_QUEUED,
+    NO_SLOTS_RETRY_S,
+    QUEUE_FULL_RETRY_S,
+    Admission,
+    Admitted,
+    Load,
+    Refusal,
+    Refused,
+    Request,
+    TeamWork,
+    decide_admission,
+)
 from fireflybridge_dispatch._attempts import decide_return
+from fireflybridge_dispatch._backlog import Backlog, Job, Team
+from fireflybridge_dispatch._classes import WorkClass, classify, find_long_limits, order_classes
+from fireflybridge_dispatch._estimates import RunTime, RunTimes
+from fireflybridge_dispatch._returned import ReturnedTasks
+from fireflybridge_dispatch._shares import limit_slots
 from fireflybridge_dispatch._snapshot import QueueSnapshot, TeamSnapshot
-from fireflybridge_tables import Pool
+from fireflybridge_dispatch._takers import Taker, Takers
+from fireflybridge_tables import Pool, Quota
 
+# A backlog younger than this may still be pulled by other daemons; an older one was not wanted.
+PULL_GRACE_S = 0.25
+PROBE_INTERVAL_S = 1.0  # one submission of a kind is admitted this often although estimates say no
+MAX_TEAMS = 256  # teams kept without queued or running tasks
+MAX_KINDS = 4096
+SPARE_DEADLINES = 256  # outdated entries kept, beside as many as are valid, before a rebuild
+REMOTE = ""  # upstream name of tasks that another daemon pulled
 
-class _Taker:
-    """Wait for one task on behalf of one slot."""
 
-    __slots__ = ("event", "task", "upstream")
+class _Start(NamedTuple):
+    """Hold what a running task uses."""
 
-    def __init__(self, upstream: str) -> None:
-        self.upstream = upstream
-        self.event = anyio.Event()
-        self.task: Task | None = None
+    team: Team
+    work_class: WorkClass
+    upstream: str
 
 
 class PoolQueue:
     """Hold the queued and running tasks of one pool and hand them to slots."""
 
     def __init__(self, pool: Pool, clock: Callable[[], float]) -> None:
-        self._pool = pool
         self._clock = clock
-        self._queue: deque[Task] = deque()
-        self._running: dict[TaskId, tuple[Task, str]] = {}
-        self._takers: deque[_Taker] = deque()
+        self._run_times = RunTimes()
+        self._takers = Takers()
+        self._returned = ReturnedTasks()
+        self._backlogs = tuple(Backlog(self._count_slots) for _ in WorkClass)
+        self._teams: dict[str, Team] = {}
+        self._kinds: dict[tuple[str, str], WorkClass] = {}
+        self._probes: dict[tuple[str, str], float] = {}
+        self._jobs: dict[str, list[Job]] = {}
+        self._deadlines: list[tuple[float, int, Job]] = []
+        self._rebuild_at = SPARE_DEADLINES
+        self._serial = count()
+        self._running: dict[TaskId, _Start] = {}
+        self._running_by_class = [0 for _ in WorkClass]
+        self._remote = 0
+        self._passes = 0
+        self._backlog_since = clock()
         self._total = self._local = sum(upstream.slots for upstream in pool.upstreams)
+        self.configure(pool)
 
     @property
     def queued(self) -> int:
         """Return the number of tasks that wait for a slot."""
-        return len(self._queue)
+        short, long = self._backlogs
+        return short.queued + long.queued + len(self._returned)
 
     @property
     def free(self) -> int:
@@ -47,27 +85,68 @@
     def configure(self, pool: Pool) -> None:
         """Apply the pool of the tables now in force."""
         self._pool = pool
+        self._quotas = {quota.team: quota for quota in pool.quotas}
+        self._takers.keep_only(frozenset(upstream.name for upstream in pool.upstreams))
+        self._apply_limits()
 
     def slots_changed(self, total: int, local: int) -> None:
-        """Set the slots of all daemons together, and of this daemon."""
+        """Set the slots that this daemon can count on: those of all daemons, and its own."""
         self._total, self._local = total, local
+        self._apply_limits()
 
     def admit(self, tasks: Sequence[Task]) -> Admission:
         """Decide whether the tasks of one submission can be answered within their deadline."""
-        if self._total == 0:
-            return Refused(Refusal.NO_SLOTS, 1.0)
-        return Admitted()
+        if self._total <= 0:
+            return Refused(Refusal.NO_SLOTS, NO_SLOTS_RETRY_S)
+        if self.queued + len(tasks) > MAX_QUEUED:
+            return Refused(Refusal.QUEUE_FULL, QUEUE_FULL_RETRY_S)
+        first = tasks[0]
+        run_time, work_class = self._estimate(first)
+        team, backlog = self._find_team(first.team), self._backlogs[work_class]
+        request = Request(
+            window_s=first.deadline - self._clock(),
+            work_s=len(tasks) * run_time.mean_s,
+            ahead_s=team.lanes[work_class].sum_ahead(first.deadline),
+            typical_s=run_time.typical_s,
+            high_s=run_time.high_s,
+            weight=team.weight,
+            slots=team.limit,
+        )
+        load = Load(self._count_class_slots(work_class), backlog.work_s)
+        others = (
+            TeamWork(lane.work_s, lane.team.weight) for lane in backlog.walk_other_lanes(team)
+        )
+        match decide_admission(request, load, others):
+            case Refused() if self._may_probe(first):
+                return Admitted(run_time.high_s)
+            case decision:
+                return decision
 
     def put(self, tasks: Sequence[Task]) -> None:
         """Queue the tasks of one submission and wake waiting slots."""
-        self._queue.extend(tasks)
+        first = tasks[0]
+        run_time, work_class = self._estimate(first)
+        team, backlog = self._find_team(first.team), self._backlogs[work_class]
+        if not self.queued:
+            self._backlog_since = self._clock()
+        job = Job(deque(tasks), team.lanes[work_class], work_class, run_time)
+        backlog.add(job)
+        self._jobs.setdefault(job.key, []).append(job)
+        if len(self._deadlines) >= self._rebuild_at:
+            self._deadlines = [entry for entry in self._deadlines if entry[2].tasks]
+            heapq.heapify(self._deadlines)
+            self._rebuild_at = 2 * len(self._deadlines) + SPARE_DEADLINES
+        heapq.heappush(self._deadlines, (job.deadline, next(self._serial), job))
         self._hand_out()
 
     async def take(self, upstream: str) -> Task:
-        """Wait for the next task that a free slot of the upstream may run."""
-        taker = _Taker(upstream)
-        self._takers.append(taker)
-        self._hand_out()
+        """Wait for the next task that a free slot of the upstream may run.
+
+        A caller that is cancelled while it waits loses no task.
+        """
+        if self.queued and (task := self._pick(upstream)) is not None:
+            return task
+        taker = self._takers.add(upstream)
         try:
             await taker.event.wait()
         except BaseException:
@@ -78,67 +157,246 @@
 
     def take_batch(self, slots: int) -> tuple[Task, ...]:
         """Return at most ``slots`` tasks for another daemon that has free slots."""
-        batch = tuple(self._queue.popleft() for _ in range(min(slots, len(self._queue))))
-        self._running.update((task.id, (task, "")) for task in batch)
-        return batch
+        picks = (self._pick(REMOTE) for _ in range(min(slots, self.queued)))
+        return tuple(task for task in picks if task is not None)
 
     def put_back(self, task: Task) -> NotRun | None:
         """Queue a task again that was not run; return its outcome if that was its last attempt."""
-        _, upstream = self._running.pop(task.id, (task, ""))
-        match decide_return(task, upstream):
+        start = self._release(task.id)
+        match decide_return(task, start.upstream if start else REMOTE):
             case NotRun() as outcome:
+                self._returned.forget(task.id)
+                self._spoil(task.id.key)
+                self._hand_out()
                 return outcome
             case again:
-                self._queue.appendleft(again)
-                self._hand_out()
+                self._return(again, start, frozenset((start.upstream,)) if start else frozenset())
                 return None
 
     def finish(self, task: Task, outcome: Outcome, run_s: float) -> None:
         """Free the slot of a started task and learn from its run time in seconds."""
-        self._running.pop(task.id, None)
+        start = self._release(task.id)
+        if start is None:
+            return
+        self._returned.forget(task.id)
+        match outcome:
+            case Done():
+                self._learn(task, start.upstream, run_s)
+            case MayHaveRun(cause=Cause.TIMED_OUT):
+                self._learn(task, start.upstream, run_s)
+                self._spoil(task.id.key)
+            case NotRun() | MayHaveRun():
+                self._spoil(task.id.key)
+        self._hand_out()
 
     def cancel(self, key: str) -> tuple[Task, ...]:
         """Remove and return the queued tasks of a submission."""
-        return self._remove(lambda task: task.id.key == key)
+        jobs = self._jobs.pop(key, [])
+        returned = self._returned.remove_key(key)
+        queued = (task for job in jobs for task in self._backlogs[job.work_class].clear(job))
+        return (*(one.task for one in returned), *queued)
 
     def expire(self) -> tuple[Task, ...]:
-        """Remove and return the queued tasks whose deadline has passed."""
+        """Remove and return the queued tasks whose deadline has passed.
+
+        Call it several times a second: it also offers tasks to slots that they avoided for a time.
+        """
         now = self._clock()
-        return self._remove(lambda task: task.deadline <= now)
+        expired = [one.task for one in self._returned.remove_expired(now)]
+        while self._deadlines and self._deadlines[0][0] <= now:
+            job = heapq.heappop(self._deadlines)[2]
+            if job.tasks:
+                expired.extend(self._backlogs[job.work_class].clear(job))
+                self._drop(job)
+        self._hand_out()
+        return tuple(expired)
 
     def snapshot(self) -> QueueSnapshot:
         """Return the figures of this moment for metrics."""
-        teams: dict[str, list[int]] = {}
-        for task in self._queue:
-            teams.setdefault(task.team, [0, 0])[0] += 1
-        for task, _ in self._running.values():
-            teams.setdefault(task.team, [0, 0])[1] += 1
-        rows = tuple(TeamSnapshot(team, *counts) for team, counts in sorted(teams.items()))
+        short, long = self._backlogs
+        teams = (
+            TeamSnapshot(team.name, team.queued, team.running)
+            for team in self._teams.values()
+            if team.queued or team.running
+        )
         return QueueSnapshot(
-            self._pool.name, self.queued, 0, len(self._running), 0, self.free, 0.0, rows
+            pool=self._pool.name,
+            queued=self.queued,
+            queued_long=long.queued,
+            running=len(self._running),
+            running_long=self._running_by_class[WorkClass.LONG],
+            free=self.free,
+            wait_s=short.work_s / self._count_class_slots(WorkClass.SHORT),
+            teams=tuple(sorted(teams, key=lambda row: row.team)),
         )
 
-    def _remove(self, matches: Callable[[Task], bool]) -> tuple[Task, ...]:
-        """Remove and return the queued tasks that match."""
-        removed = tuple(filter(matches, self._queue))
-        if removed:
-            gone = {task.id for task in removed}
-            self._queue = deque(task for task in self._queue if task.id not in gone)
-        return removed
-
     def _hand_out(self) -> None:
-        """Give queued tasks to waiting slots."""
-        while self._takers and self._queue:
-            taker, task = self._takers.popleft(), self._queue.popleft()
-            self._running[task.id] = (task, taker.upstream)
-            taker.task = task
-            taker.event.set()
-
-    def _withdraw(self, taker: _Taker) -> None:
-        """Forget a cancelled slot; a task already given to it goes back to the queue's head."""
+        """Give queued tasks to waiting slots, the fastest upstream's first."""
+        while self._takers and self.queued:
+            taker = self._takers.find_fastest()
+            task = self._pick(taker.upstream)
+            if task is None:
+                break
+            self._give(taker, task)
+        if self._takers and self._returned:
+            for taker in self._takers.list_fastest():
+                task = self._pick(taker.upstream)
+                if task is not None:
+                    self._give(taker, task)
+
+    def _give(self, taker: Taker, task: Task) -> None:
+        """Wake a slot with its task."""
+        self._takers.remove(taker)
+        taker.task = task
+        taker.event.set()
+
+    def _withdraw(self, taker: Taker) -> None:
+        """Forget a cancelled slot; a task that it was already given is queued again."""
         if taker.task is None:
             self._takers.remove(taker)
             return
-        self._running.pop(taker.task.id, None)
-        self._queue.appendleft(taker.task)
+        self._return(taker.task, self._release(taker.task.id), frozenset())
+
+    def _return(self, task: Task, start: _Start | None, avoid: frozenset[str]) -> None:
+        """Queue a task that was not run, to be kept from some upstreams for a time."""
+        if start is None:
+            self.put((task,))
+            return
+        self._returned.add(task, start.team, start.work_class, avoid, self._clock())
         self._hand_out()
+
+    def _pick(self, upstream: str) -> Task | None:
+        """Remove and return the next task for a slot of the upstream, and count it as running."""
+        now = self._clock()
+        if self._returned and (again := self._returned.take(upstream, now)) is not None:
+            self._start(again.task, _Start(again.team, again.work_class, upstream))
+            return again.task
+        job = self._find_job(now)
+        if job is None:
+            return None
+        task = self._backlogs[job.work_class].take(job)
+        self._start(task, _Start(job.lane.team, job.work_class, upstream))
+        if not job.tasks:
+            self._drop(job)
+        return task
+
+    def _find_job(self, now: float) -> Job | None:
+        """Return the job that the next free slot serves."""
+        short, long = self._backlogs
+        if not long.queued:
+            return short.find_first(now) or short.find_late(now)
+        limits = find_long_limits(self._local + self._remote)
+        running_long = self._running_by_class[WorkClass.LONG]
+        order = order_classes(limits, running_long, self._passes)
+        for find in (Backlog.find_first, Backlog.find_late):
+            for work_class in order:
+                if (job := find(self._backlogs[work_class], now)) is not None:
+                    return job
+        return None
+
+    def _start(self, task: Task, start: _Start) -> None:
+        """Count a task as running."""
+        self._running[task.id] = start
+        self._running_by_class[start.work_class] += 1
+        self._remote += start.upstream == REMOTE
+        if start.work_class is WorkClass.LONG:
+            self._passes = 0
+        elif self._backlogs[WorkClass.LONG].queued:
+            self._passes += 1
+        self._change_use(start.team, 1)
+
+    def _release(self, task_id: TaskId) -> _Start | None:
+        """Count a task as no longer running."""
+        start = self._running.pop(task_id, None)
+        if start is not None:
+            self._running_by_class[start.work_class] -= 1
+            self._remote -= start.upstream == REMOTE
+            self._change_use(start.team, -1)
+        return start
+
+    def _change_use(self, team: Team, slots: int) -> None:
+        """Change the slots that a team uses, and with it the team's place."""
+        team.running += slots
+        for backlog, lane in zip(self._backlogs, team.lanes, strict=True):
+            if lane.jobs:
+                backlog.rank(lane)
+
+    def _learn(self, task: Task, upstream: str, run_s: float) -> None:
+        """Learn from a run time in seconds."""
+        if run_s <= 0.0:
+            return
+        run_time = self._run_times.observe(task.route, task.team, run_s)
+        if upstream != REMOTE:
+            self._takers.learn_pace(upstream, run_s, run_time.typical_s)
+
+    def _spoil(self, key: str) -> None:
+        """Put the rest of a job last that can no longer become complete."""
+        for job in self._jobs.get(key, ()):
+            job.spoiled = True
+
+    def _drop(self, job: Job) -> None:
+        """Forget a job without queued tasks."""
+        jobs = self._jobs.get(job.key, [])
+        if job in jobs:
+            jobs.remove(job)
+        if not jobs:
+            self._jobs.pop(job.key, None)
+
+    def _estimate(self, task: Task) -> tuple[RunTime, WorkClass]:
+        """Return the learned run time and the class of a kind of task."""
+        kind = (task.route, task.team)
+        run_time = self._run_times.estimate(task.route, task.team, task.expected_s)
+        reference_s = self._run_times.find_reference(run_time.typical_s)
+        if len(self._kinds) > MAX_KINDS:
+            self._kinds.clear()
+        previous = self._kinds.get(kind, WorkClass.SHORT)
+        self._kinds[kind] = work_class = classify(run_time.typical_s, reference_s, previous)
+        return run_time, work_class
+
+    def _may_probe(self, task: Task) -> bool:
+        """Admit one submission of a kind now and then, so that wrong estimates are unlearned."""
+        now, kind = self._clock(), (task.route, task.team)
+        if now - self._probes.get(kind, -PROBE_INTERVAL_S) < PROBE_INTERVAL_S:
+            return False
+        if len(self._probes) > MAX_KINDS:
+            self._probes.clear()
+        self._probes[kind] = now
+        return True
+
+    def _find_team(self, name: str) -> Team:
+        """Return the state of a team."""
+        team = self._teams.get(name)
+        if team is None:
+            if len(self._teams) >= MAX_TEAMS:
+                self._teams = {
+                    name: one for name, one in self._teams.items() if one.running or one.queued
+                }
+            quota = self._quotas.get(name, Quota(name))
+            team = Team(name, quota.weight, limit_slots(quota, max(self._total, 1)))
+            self._teams[name] = team
+        return team
+
+    def _apply_limits(self) -> None:
+        """Apply quotas and slots to the teams at hand."""
+        for team in self._teams.values():
+            quota = self._quotas.get(team.name, Quota(team.name))
+            team.weight, team.limit = quota.weight, limit_slots(quota, max(self._total, 1))
+            self._change_use(team, 0)
+        self._hand_out()
+
+    def _count_slots(self) -> int:
+        """Return the slots that the backlog can count on."""
+        young = not self.queued or self._clock() - self._backlog_since < PULL_GRACE_S
+        return max(1, self._total if young else self._local + self._remote)
+
+    def _count_class_slots(self, work_class: WorkClass) -> float:
+        """Return the slots that a class can count on beside the other class's running tasks."""
+        slots = self._count_slots()
+        limits = find_long_limits(slots)
+        short, long = self._backlogs
+        long_use = min(max(self._running_by_class[WorkClass.LONG], limits.floor), limits.ceiling)
+        if work_class is WorkClass.LONG:
+            return max(1, long_use if short.queued else limits.ceiling)
+        if not long.queued:
+            long_use = min(self._running_by_class[WorkClass.LONG], limits.ceiling)
+        return max(1, slots - long_use)
