--- /dev/null
+++ b/features/publish.feature
@@ -0,0 +1,102 @@
+Feature: Publishing tables from the command line
+  Operators race each other, and the log may be down or lose its answers. Whatever happens, each
+  parent has at most one child in force, nothing is published twice, and the operator is told.
+
+  Background:
+    Given a publish platform
+
+  Scenario: A revision names its parent, and only the parent in force will do
+    When a publish of the example tables without a parent exits 0
+    And a publish with "slots = 8" changed to "slots = 4" and no parent exits 3
+    Then the publish output says "name the revision that the files were edited from"
+    When a publish with "slots = 8" changed to "slots = 4" and the parent in force exits 0
+    Then the publish output says "slots 8 -> 4"
+    When a publish with "weight = 2.0" changed to "weight = 5.0" and the first parent exits 3
+    Then the publish output says "nothing was published"
+    And the publish output says "slots 8 -> 4"
+    And the publish log holds 2 records and 2 accepted revisions
+
+  Scenario: Tables that are already in force are not published again
+    When a publish of the example tables without a parent exits 0
+    And a publish of the example tables with the parent in force exits 0
+    Then the publish output says "nothing to publish"
+    And the publish log holds 1 records and 1 accepted revisions
+
+  Scenario: Faulty tables are not published
+    When a publish with "slots = 8" changed to "slots = 0" and no parent exits 1
+    Then the publish output says "pools[1].upstreams[1].slots"
+    And the publish log holds 0 records and 0 accepted revisions
+
+  Scenario Outline: Of ten operators who publish on one parent exactly one wins
+    Two winners would give daemons different tables, or drop one operator's change unseen.
+    Given the publish platform answers appends with <fault>
+    When a publish of the example tables without a parent exits 0
+    And 10 racing publishes on the parent in force all end
+    And 10 racing publishes on the parent in force all end
+    Then each publish parent has exactly one accepted child
+    And of each 10 racing publishes 1 exited 0 and 9 exited 3
+
+    Examples:
+      | fault        |
+      | a delay      |
+      | lost answers |
+
+  Scenario: Ten operators who have all read the same end of the log get one winner
+    When a publish of the example tables without a parent exits 0
+    Given the publish platform holds back appends
+    When 10 racing publishes on the parent in force have sent their appends
+    And the publish platform lets 10 appends pass
+    And the racing publishes end
+    Then each publish parent has exactly one accepted child
+    And of each 10 racing publishes 1 exited 0 and 9 exited 3
+    And the publish log holds 11 records and 2 accepted revisions
+
+  Scenario: A lost answer to the append does not publish twice
+    Given the publish platform answers appends with lost answers
+    When a publish of the example tables without a parent exits 0
+    Then the publish output says "is in force"
+    And the publish log holds 1 records and 1 accepted revisions
+
+  Scenario: Publishing during an outage says that nothing was published
+    Given the publish platform refuses everything
+    When a publish of the example tables without a parent exits 4
+    Then the publish output says "the log is unavailable, nothing was published"
+    Given the publish platform works again
+    Then the publish log holds 0 records and 0 accepted revisions
+
+  Scenario: A refused append says that nothing was published
+    Given the publish platform refuses appends
+    When a publish of the example tables without a parent exits 4
+    Then the publish output says "nothing was published"
+    Given the publish platform works again
+    Then the publish log holds 0 records and 0 accepted revisions
+
+  Scenario: An outage that begins after the append leaves the result unknown, and says so
+    Given the publish platform holds back appends
+    When 1 racing publishes on the parent in force have sent their appends
+    And the publish platform takes the appends and refuses reads
+    And the racing publishes end
+    Then the racing publish output says "unknown whether revision"
+    Given the publish platform works again
+    Then of each 1 racing publishes 1 exited 5 and 0 exited 3
+    And the publish log holds 1 records and 1 accepted revisions
+    When a publish of the example tables without a parent exits 3
+    Then the publish log holds 1 records and 1 accepted revisions
+
+  Scenario: A log that lost the revision in force needs a Keep record or a restart
+    When a publish of the example tables without a parent exits 0
+    And a publish with "slots = 8" changed to "slots = 4" and the parent in force exits 0
+    And the publish log loses every record
+    And a publish with "slots = 8" changed to "slots = 2" and the parent in force exits 4
+    Then the publish output says "no longer shows which revision is in force"
+    When a daemon keeps the published revision
+    And a publish with "slots = 8" changed to "slots = 2" and the parent in force exits 0
+    And the publish log loses every record
+    And a restarting publish exits 0
+    And a restarting publish exits 3
+    Then the publish output says "omit --restart"
+
+  Scenario: Publish previews and lists what was published
+    When a publish of the example tables without a parent exits 0
+    Then a publish preview with "window_ms = 5000" changed to "window_ms = 4000" shows one change
+    And the publish history shows the revision in force
--- a/features/steps/tables.py
+++ b/features/steps/tables.py
@@ -25,6 +25,7 @@
     Route,
     Tables,
     TablesState,
+    Unreadable,
     Upstream,
     adopt_keep,
     apply_changes,
@@ -313,6 +314,10 @@
         for offset in range(state.offset, len(payloads)):
             state = fold_record(state, offset, decode_record(payloads[offset]))
         assert state == states[-1]
+        for number, payload in enumerate(payloads):
+            if payload in payloads[:number] and not isinstance(decode_record(payload), Unreadable):
+                before, after = states[number], states[number + 1]
+                assert replace(after, offset=before.offset) == before, "a repeat had an effect"
         accepted = [entry.head for entry in state.history if entry.verdict == "accepted"]
         assert len({head.id for head in accepted}) == len(accepted)
 
@@ -333,13 +338,14 @@
         late = skip_gap(states[min(held, first)], first)
         for offset in range(late.offset, len(payloads)):
             late = fold_record(late, offset, decode_record(payloads[offset]))
-            if late.anchored:
-                truth = states[offset + 1]
-                assert (late.revision, late.tables) == (truth.revision, truth.tables)
+            truth = states[offset + 1] if late.anchored else states[min(held, first)]
+            assert (late.revision, late.tables) == (truth.revision, truth.tables)
             keep = make_keep(states[offset + 1])
             if keep is not None:
                 taken = adopt_keep(TablesState(anchored=False), keep)
                 assert (taken.revision, taken.offset) == (keep.head, keep.as_of)
+                ahead = states[-1]
+                assert not ahead.anchored or adopt_keep(ahead, keep) == ahead
         anchored.append(late.anchored and first > held)
 
     agree()
