Test membership and ownership over tables, clusters and random histories

Cause: a wrong owner leaves an upstream idle or lets two daemons share its slots; both show only in sequences of loss, pause, restart and return. Change: table-driven rules, clusters on a clock that the steps set, 60 seeded histories and a property over random views.

--- /dev/null
+++ b/features/steps/membership.py
@@ -0,0 +1,397 @@
+"""Steps for membership: plain calls with a clock that the steps set."""
+
+from collections import Counter
+from dataclasses import dataclass, field, replace
+from random import Random
+
+from behave import given, then, when
+from behave.runner import Context
+from hypothesis import given as given_values
+from hypothesis import seed, settings
+from hypothesis import strategies as st
+
+from fireflybridge_core import CLAIM_SHARDS
+from fireflybridge_membership import (
+    Applied,
+    Candidate,
+    DaemonState,
+    IgnoredDrop,
+    IgnoredEmpty,
+    MemberKind,
+    MemberRecord,
+    Membership,
+    PeerReport,
+    Resource,
+    find_owner,
+)
+
+STEP_S = 0.5
+
+
+def split_names(text: str) -> list[str]:
+    return [name for name in text.split(",") if name]
+
+
+def make_record(name: str, domain: str = "x", leaving: bool = False) -> MemberRecord:
+    return MemberRecord(name, MemberKind.DAEMON, leaving, domain, f"{name}:1")
+
+
+def make_upstreams(count: int, domain: str = "x") -> list[Resource]:
+    return [Resource(f"u{number}", domain, f"u{number}:1") for number in range(count)]
+
+
+def report_daemon(name: str, state: DaemonState = DaemonState.READY) -> PeerReport:
+    return PeerReport(name, f"{name}-1", "x", state)
+
+
+@given('a membership that hears "{names}"')
+@given('a membership that hears ""')
+def start_membership(context: Context, names: str = "") -> None:
+    context.now = 0.0
+    context.membership = Membership("a", "x", context.now)
+    hear_names(context, names)
+
+
+def hear_names(context: Context, names: str) -> None:
+    for name in split_names(names):
+        context.membership.hear(report_daemon(name), context.now)
+
+
+@when('the membership gets a list of "{names}"')
+@when('the membership gets a list of ""')
+def give_list(context: Context, names: str = "") -> None:
+    records = [make_record(name) for name in split_names(names)]
+    context.verdict = context.membership.apply_list(records, context.now)
+
+
+@when("the membership gets an empty list")
+def give_empty_list(context: Context) -> None:
+    context.verdict = context.membership.apply_list([], context.now)
+
+
+@then('the membership answers the list with "{expected}"')
+def check_verdict(context: Context, expected: str) -> None:
+    match context.verdict:
+        case Applied():
+            found = "Applied"
+        case IgnoredEmpty(heard):
+            found = f"IgnoredEmpty({heard})"
+        case IgnoredDrop(dropped):
+            found = f"IgnoredDrop({','.join(dropped)})"
+    assert found == expected, found
+
+
+@when('{seconds:g} s pass in which the membership hears "{names}"')
+@when('{seconds:g} s pass in which the membership hears ""')
+def pass_time(context: Context, seconds: float, names: str = "") -> None:
+    context.now += seconds
+    hear_names(context, names)
+    context.membership.tick(context.now)
+
+
+@then('the membership view is "{names}"')
+def check_view(context: Context, names: str) -> None:
+    found = [candidate.name for candidate in context.membership.view(context.now).candidates]
+    assert found == split_names(names), found
+
+
+@then('the membership links to "{names}"')
+def check_links(context: Context, names: str) -> None:
+    found = [peer.name for peer in context.membership.list_peers()]
+    assert found == split_names(names), found
+
+
+def parse_candidate(text: str) -> Candidate:
+    member, _, state = text.partition("/")
+    name, _, domain = member.partition("@")
+    return Candidate(name, domain, state == "draining")
+
+
+@then(
+    'the membership owner of {count:d} upstreams of "{domain}" among "{members}" is in "{owners}"'
+)
+@then('the membership owner of {count:d} upstreams of "{domain}" among "" is in ""')
+def check_owners(
+    context: Context, count: int, domain: str, members: str = "", owners: str = ""
+) -> None:
+    candidates = [parse_candidate(text) for text in members.split()]
+    found = {find_owner(upstream, candidates) for upstream in make_upstreams(count, domain)}
+    assert found == (set(split_names(owners)) or {None}), found
+
+
+@given('a membership alone that owns upstreams "{names}"')
+def own_upstreams(context: Context, names: str) -> None:
+    context.now = 0.0
+    context.membership = Membership("a", "x", context.now)
+    context.membership.apply_list([make_record("a")], context.now)
+    upstreams = [Resource(name, "x", f"{name}:1") for name in split_names(names)]
+    context.membership.set_upstreams(upstreams, context.now)
+    assert len(context.membership.list_upstreams(context.now)) == len(upstreams)
+
+
+@given('the membership gets a list in which "{name}" and the address of "{other}" are leaving')
+@when('the membership gets a list in which "{name}" and the address of "{other}" are leaving')
+def give_leaving(context: Context, name: str, other: str) -> None:
+    upstream = MemberRecord(name, MemberKind.UPSTREAM, True, "x", "elsewhere:1")
+    renamed = replace(upstream, name="other-name", address=f"{other}:1")
+    records = [make_record("a"), upstream, renamed]
+    context.verdict = context.membership.apply_list(records, context.now)
+
+
+def list_used(context: Context) -> list[str]:
+    return sorted(upstream.name for upstream in context.membership.list_upstreams(context.now))
+
+
+@then('the membership uses upstreams "{names}" now')
+def check_used(context: Context, names: str) -> None:
+    assert list_used(context) == split_names(names), list_used(context)
+
+
+@then('no upstream "{name}" is used by the membership')
+def check_unused(context: Context, name: str) -> None:
+    assert name not in list_used(context), list_used(context)
+
+
+@when('the membership hears "{name}" that is "{state}"')
+def hear_state(context: Context, name: str, state: str) -> None:
+    context.membership.hear(report_daemon(name, DaemonState(state)), context.now)
+
+
+@given('a membership "a" that joined daemon "b" which was "{first}" and hears it')
+def join_daemon(context: Context, first: str) -> None:
+    context.now = 0.0
+    context.membership = Membership("a", "x", context.now)
+    context.membership.set_upstreams(make_upstreams(40), context.now)
+    hear_state(context, "b", first)
+    context.membership.apply_list([make_record("a"), make_record("b")], context.now)
+    view = context.membership.view(context.now).candidates
+    owners = {upstream.name: find_owner(upstream, view) for upstream in make_upstreams(40)}
+    context.shares = {name: {u for u, owner in owners.items() if owner == name} for name in "ab"}
+    assert all(context.shares.values())
+
+
+@when('the membership sees that "b" is "{event}"')
+def change_daemon(context: Context, event: str) -> None:
+    for _ in range(8):
+        context.now += STEP_S
+        hear_state(context, "b", "ready")
+    if event == "draining":
+        hear_state(context, "b", event)
+
+
+@then('the membership uses the upstreams of "b" after {delay:g} s')
+def check_taken_over(context: Context, delay: float) -> None:
+    check_delay(context, context.shares["b"], delay)
+
+
+@then("the membership uses its own upstreams after {delay:g} s")
+def check_own_start(context: Context, delay: float) -> None:
+    while context.now + STEP_S < delay:
+        assert not context.shares["a"] & set(list_used(context))
+        context.now += STEP_S
+        hear_state(context, "b", "ready")
+    check_delay(context, context.shares["a"], delay - context.now)
+
+
+def check_delay(context: Context, share: set[str], delay: float) -> None:
+    if delay:
+        context.now += delay - 0.01
+        context.membership.tick(context.now)
+        assert not share & set(list_used(context)), list_used(context)
+        context.now += 0.01
+    context.membership.tick(context.now)
+    assert share <= set(list_used(context)), list_used(context)
+
+
+@dataclass
+class Cluster:
+    """Run several memberships in one process, on one clock."""
+
+    names: list[str]
+    upstreams: list[Resource]
+    now: float = 0.0
+    members: dict[str, Membership] = field(default_factory=dict)
+    incarnations: Counter[str] = field(default_factory=Counter)
+    silent: set[str] = field(default_factory=set)
+    paused: set[str] = field(default_factory=set)
+
+    def start(self, name: str) -> None:
+        """Start a daemon, or start it again as a new incarnation."""
+        self.incarnations[name] += 1
+        self.members[name] = Membership(name, "x", self.now)
+        self.members[name].set_upstreams(self.upstreams, self.now)
+        self.members[name].apply_list([make_record(name) for name in self.names], self.now)
+
+    def exchange(self) -> None:
+        """Deliver one heartbeat of each pair of daemons that run and are connected."""
+        running = [name for name in self.names if name not in self.silent | self.paused]
+        reports = {name: self.report(name) for name in running}
+        for name in running:
+            for report in reports.values():
+                self.members[name].hear(report, self.now)
+        for name in set(self.names) - self.paused:
+            self.members[name].tick(self.now)
+
+    def report(self, name: str) -> PeerReport:
+        """Return what a daemon announces now."""
+        return PeerReport(name, str(self.incarnations[name]), "x", self.members[name].state)
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass with two rounds of heartbeats a second."""
+        for _ in range(round(seconds / STEP_S)):
+            self.now += STEP_S
+            self.exchange()
+
+    def find_users(self) -> dict[str, list[str]]:
+        """Return the daemons that use each resource; a silent daemon is dead."""
+        users: dict[str, list[str]] = {upstream.name: [] for upstream in self.upstreams}
+        users |= {f"claims-{shard:02}": [] for shard in range(CLAIM_SHARDS)}
+        for name in set(self.names) - self.silent - self.paused:
+            member = self.members[name]
+            for resource in member.list_upstreams(self.now) + member.list_shards(self.now):
+                users[resource.name].append(name)
+        return users
+
+
+def start_cluster(count: int, upstreams: int) -> Cluster:
+    cluster = Cluster([f"d{number}" for number in range(count)], make_upstreams(upstreams))
+    for name in cluster.names:
+        cluster.start(name)
+    return cluster
+
+
+@given("{count:d} memberships that start together and {upstreams:d} upstreams")
+def start_memberships(context: Context, count: int, upstreams: int) -> None:
+    context.cluster = start_cluster(count, upstreams)
+
+
+@given("the memberships hear each other")
+@when("the memberships hear each other")
+def hear_all(context: Context) -> None:
+    context.cluster.exchange()
+    context.users = context.cluster.find_users()
+
+
+@given("membership {number:d} falls silent and 3 s pass")
+@when("membership {number:d} falls silent and 3 s pass")
+def silence(context: Context, number: int) -> None:
+    context.cluster.silent.add(f"d{number}")
+    context.cluster.advance(3.0)
+
+
+@when("membership {number:d} restarts and the memberships hear each other")
+def restart(context: Context, number: int) -> None:
+    context.cluster.silent.clear()
+    context.cluster.start(f"d{number}")
+    context.cluster.exchange()
+
+
+@when("membership {number:d} is paused for {seconds:g} s")
+def pause(context: Context, number: int, seconds: float) -> None:
+    context.cluster.paused.add(f"d{number}")
+    context.cluster.advance(seconds)
+
+
+@then("membership {number:d} uses nothing")
+def check_idle(context: Context, number: int) -> None:
+    cluster = context.cluster
+    member = cluster.members[f"d{number}"]
+    assert not member.list_upstreams(cluster.now) + member.list_shards(cluster.now)
+
+
+@when("membership {number:d} resumes and the memberships hear each other")
+def resume(context: Context, number: int) -> None:
+    context.cluster.paused.clear()
+    context.cluster.exchange()
+
+
+@when("3 s pass in which the memberships hear each other")
+def advance_cluster(context: Context) -> None:
+    context.cluster.advance(3.0)
+
+
+@then("each resource is used by exactly one membership")
+def check_one_user(context: Context) -> None:
+    wrong = {name: used for name, used in context.cluster.find_users().items() if len(used) != 1}
+    assert not wrong, wrong
+
+
+@then("no resource is used by two memberships")
+def check_no_overlap(context: Context) -> None:
+    wrong = {name: used for name, used in context.cluster.find_users().items() if len(used) > 1}
+    assert not wrong, wrong
+
+
+@then("only resources of membership {number:d} moved")
+def check_moved(context: Context, number: int) -> None:
+    users = context.cluster.find_users()
+    moved = {name for name, used in users.items() if used != context.users[name]}
+    assert moved == {name for name, used in context.users.items() if used == [f"d{number}"]}
+
+
+@then("the memberships agree on the registrar of all {count:d} shards")
+def check_registrars(context: Context, count: int) -> None:
+    cluster = context.cluster
+    for shard in range(count):
+        found = {m.find_registrar(shard, cluster.now) for m in cluster.members.values()}
+        assert [*found] == context.users[f"claims-{shard:02}"], found
+
+
+@then("the membership invariants hold over {count:d} random histories of {daemons:d} daemons")
+def check_histories(context: Context, count: int, daemons: int) -> None:
+    for number in range(count):
+        random = Random(number)
+        cluster = start_cluster(daemons, 30)
+        cluster.exchange()
+        for _ in range(12):
+            act_at_random(cluster, random)
+            cluster.advance(random.choice((STEP_S, 2.0, 4.0)))
+            overlaps = {name: used for name, used in cluster.find_users().items() if len(used) > 1}
+            assert not overlaps, f"history {number}: {overlaps}"
+        for name in sorted(cluster.silent):
+            cluster.start(name)
+        cluster.silent.clear()
+        cluster.paused.clear()
+        cluster.advance(7.0)
+        assert all(len(used) == 1 for used in cluster.find_users().values()), f"history {number}"
+
+
+def act_at_random(cluster: Cluster, random: Random) -> None:
+    """Kill, restart, pause or resume one daemon."""
+    name = random.choice(cluster.names)
+    if name in cluster.silent:
+        cluster.silent.remove(name)
+        cluster.start(name)
+    elif name in cluster.paused:
+        cluster.paused.remove(name)
+    else:
+        random.choice((cluster.silent, cluster.paused)).add(name)
+
+
+@then("the membership owners of random views are unique and move only when their member goes")
+def check_owner_properties(context: Context) -> None:
+    candidates = st.lists(
+        st.builds(
+            Candidate,
+            st.sampled_from([f"d{number}" for number in range(12)]),
+            st.sampled_from("xyz"),
+            st.booleans(),
+        ),
+        min_size=1,
+        unique_by=lambda candidate: candidate.name,
+    )
+
+    @seed(4711)
+    @settings(derandomize=True, database=None, deadline=None)
+    @given_values(candidates, st.randoms(use_true_random=False))
+    def check(members: list[Candidate], random: Random) -> None:
+        shuffled = random.sample(members, len(members))
+        gone = random.choice(members)
+        rest = [member for member in members if member != gone]
+        for upstream in make_upstreams(10):
+            owner = find_owner(upstream, members)
+            assert owner in {member.name for member in members}
+            assert owner == find_owner(upstream, shuffled)
+            assert owner == gone.name or owner == find_owner(upstream, rest)
+
+    check()
