Cover the job commands against a daemon, and repair replay

Cause: replay raised when a job was due in the past, which a scenario with a daemon showed. Change: a late job is sent at once. Scenarios run submit, fetch, cancel, status and replay against a daemon behind the proxy; a lost answer is resubmitted and nothing starts twice. Steps that features share moved to features/support. Conclusion: every command has a scenario.

--- a/features/publish.feature
+++ b/features/publish.feature
@@ -100,3 +100,54 @@
     When a publish of the example tables without a parent exits 0
     Then a publish preview with "window_ms = 5000" changed to "window_ms = 4000" shows one change
     And the publish history shows the revision in force
+
+  Scenario: A job whose answer was lost is resubmitted under its key, and nothing starts twice
+    Given a publish daemon with 2 workers behind a proxy
+    When the publish proxy loses one answer
+    And the job command "submit check a b c --key seat-7" exits 0
+    Then the publish output says "answer:c"
+    And the publish proxy has lost 1 answer
+    And the publish workers started 3 tasks, each once
+
+  Scenario: Job commands tell what ran
+    Given a publish daemon with 2 workers behind a proxy
+    When the job command "submit check a b" exits 0
+    Then the publish output says "answer:b"
+    When the job command "submit check a --async --key seat-8" exits 0
+    And the job command "fetch seat-8 --wait-ms 30000" exits 0
+    Then the publish output says "answer:a"
+    When the job command "cancel seat-8" exits 0
+    And the job command "submit nowhere a" exits 4
+    Then the publish output says "unknown-route"
+    When the job command "submit check other --key seat-8" exits 5
+    Then the publish output says "conflict"
+    When the job command "submit check" exits 2
+    And the job command "submit check a --daemon-url http://127.0.0.1:1" exits 4
+    Then the publish output says "nothing was submitted"
+    And the publish workers started 3 tasks, each once
+
+  Scenario: A job that no daemon answers may have run, and the command says so
+    Given a publish daemon with 2 workers behind a proxy
+    When the publish proxy loses every answer
+    And the job command "submit check a --key seat-9 --attempts 2" exits 5
+    Then the publish output says "may have run"
+    And the publish workers started 1 tasks, each once
+
+  Scenario: Status shows the revision in force of each daemon and names a daemon that is gone
+    Given a publish daemon with 2 workers behind a proxy
+    Then the job command status shows the revision in force
+    And the job command status with an address where nothing listens exits 4
+
+  Scenario: A replayed trace gives the stated outcomes
+    The trace has 36 jobs on a known route with 108 tasks, and 4 jobs on an unknown one.
+    Given a publish daemon with 2 workers behind a proxy
+    When a publish trace of 40 jobs is replayed with concurrency 5
+    Then the replayed publish trace has 36 complete and 4 "refused: unknown-route" jobs
+    And the publish workers started 108 tasks, each once
+
+  Scenario: A broken trace is refused line by line before anything is sent
+    Given a publish daemon with 2 workers behind a proxy
+    When a broken publish trace is replayed, the command exits 2
+    Then the publish output says "2     not JSON"
+    And the publish output says "3     a job has 1 to 300 tasks, not 0"
+    And the publish workers started 0 tasks, each once
--- a/features/steps/publish.py
+++ b/features/steps/publish.py
@@ -13,22 +13,25 @@
 from support.control import send_control
 from support.platform import run_log
 from support.processes import Program, wait_until
+from support.publish import (
+    END_LIMIT_S,
+    VERDICT_LIMIT_S,
+    finish,
+    publish,
+    read_state,
+    run_command,
+    set_fault,
+    write_tables,
+)
 
-from fireflybridge_platform import HttpLog, Page
+from fireflybridge_platform import HttpLog
 from fireflybridge_tables import (
     TABLES_STREAM,
     TablesState,
-    decode_record,
     encode_record,
-    fold_record,
     make_keep,
-    skip_gap,
 )
 
-EXAMPLES = Path(__file__).parents[2] / "tables" / "punarjani"
-# Ends a hung command; the verdict never depends on being faster.
-VERDICT_LIMIT_S = "120"
-END_LIMIT_S = 150.0
 FAULTS = {
     "a delay": {"mode": "slow", "latency_ms": 300, "operations": ["append"]},
     "lost answers": {"mode": "lose_answers", "operations": ["append"]},
@@ -53,10 +56,6 @@
     context.folder = Path(folder.name)
 
 
-def set_fault(context: Context, **rule: Any) -> None:
-    send_control(context.platform, "PUT", "/control/fault", rule)
-
-
 @given("the publish platform answers appends with {fault}")
 def set_append_fault(context: Context, fault: str) -> None:
     set_fault(context, **FAULTS[fault])
@@ -88,53 +87,6 @@
     set_fault(context, mode="none")
 
 
-def write_tables(context: Context, name: str, sound: str = "", changed: str = "") -> Path:
-    """Copy the example tables into a directory of their own, with one text changed."""
-    directory = context.folder / name
-    directory.mkdir(exist_ok=True)
-    for file in EXAMPLES.iterdir():
-        text = file.read_text()
-        (directory / file.name).write_text(text.replace(sound, changed, 1) if sound else text)
-    return directory
-
-
-def run_command(context: Context, *arguments: str, timeout_s: str = VERDICT_LIMIT_S) -> Program:
-    """Start the command line with the stand-in's address in its settings."""
-    environment = {
-        "FIREFLYBRIDGE_PLATFORM_URL": f"http://{context.platform}",
-        "FIREFLYBRIDGE_AUTHOR": "an.operator",
-        "FIREFLYBRIDGE_TIMEOUT": timeout_s,
-    }
-    return context.processes.spawn("fireflybridge_cli", *arguments, environment=environment)
-
-
-def publish(context: Context, directory: Path, exit_code: int, *arguments: str) -> None:
-    program = run_command(context, "publish", str(directory), *arguments)
-    context.output = finish(program, exit_code)
-
-
-def finish(program: Program, exit_code: int) -> str:
-    """Wait for a command, check its exit code and return what it printed."""
-    found = program.wait_exit(END_LIMIT_S)
-    output = program.read_stdout() + program.read_stderr()
-    assert found == exit_code, f"exit code {found}: {output}"
-    return output
-
-
-def read_state(context: Context) -> TablesState:
-    """Fold everything that the log holds, from what was known before."""
-
-    async def read(log: HttpLog) -> Result[Page, Any]:
-        return await log.read(TABLES_STREAM, context.state.offset)
-
-    page = run_log(context.platform, read).unwrap()
-    state = skip_gap(context.state, page.first_offset)
-    for record in page.records:
-        state = fold_record(state, record.offset, decode_record(record.payload))
-    context.state = state
-    return state
-
-
 @when("a publish of the example tables without a parent exits {code:d}")
 def publish_example(context: Context, code: int) -> None:
     publish(context, write_tables(context, "example"), code)
--- a/packages/cli/src/fireflybridge_cli/_replay.py
+++ b/packages/cli/src/fireflybridge_cli/_replay.py
@@ -105,7 +105,8 @@
     begun = time.monotonic()
     async with anyio.create_task_group() as group:
         for number, traced in enumerate(jobs):
-            await anyio.sleep(begun + traced.at_ms / 1000 / command.speed - time.monotonic())
+            due = begun + traced.at_ms / 1000 / command.speed
+            await anyio.sleep(max(0.0, due - time.monotonic()))
             tally.late += limiter.value == 0
             await limiter.acquire()
             group.start_soon(send, number, traced)
--- a/packages/cli/src/fireflybridge_cli/_report.py
+++ b/packages/cli/src/fireflybridge_cli/_report.py
@@ -79,6 +79,8 @@
 
 def _format_cell(value: Any) -> str:
     match value:
+        case None:
+            text = ""
         case bool():
             text = "yes" if value else "no"
         case float():
