Check batch growth, append spacing and claims sent to two registrars

Cause: no feature failed when appends ignored the minimum interval, or when a slow log led to one append per claim; a claim whose answer is lost is sent to a second registrar, which no check did. Change: two scenarios on the log in memory, and the race of two registrars now sends some claims to both.

--- a/features/claims.feature
+++ b/features/claims.feature
@@ -77,6 +77,16 @@
     Given 100 claims at once and records of at most 1000 bytes
     Then every claim is granted and no claim record is larger
 
+  # Guards against one append per claim when the log is slow.
+  Scenario: Claims that arrive during an append share the next record
+    When 20 claims arrive during an append of the claim log
+    Then the claim log holds batches of 1 and 20 claims
+
+  # Guards against using up the log's appends, which all writers share.
+  Scenario: Appends of claims keep the minimum interval
+    When 4 claims follow each other with a minimum interval of 50 ms
+    Then claim appends begin at least 40 ms apart
+
   Scenario Outline: An executor starts a claimed submission at most once
     Given a claim executor that is <state>
     Then the claim decision "<decision>" makes it "<action>"
--- a/features/steps/claim_races.py
+++ b/features/steps/claim_races.py
@@ -83,8 +83,9 @@
             runners.start_soon(registrar.run)
         for batch in rounds:
             async with anyio.create_task_group() as callers:
-                for index, claim in batch:
-                    callers.start_soon(claim_one, registrars[index], claim)
+                for index, claim in batch:  # 2: the first registrar's answer is taken for lost
+                    for registrar in registrars if index == 2 else registrars[index : index + 1]:
+                        callers.start_soon(claim_one, registrar, claim)
         runners.cancel_scope.cancel()
     log.land_all()
     log.faults.clear()
@@ -105,7 +106,7 @@
     planned: Counter[Fault] = Counter()
     faults = strategies.lists(strategies.sampled_from(Fault), max_size=12)
     claims = strategies.tuples(
-        strategies.integers(0, 1),
+        strategies.integers(0, 2),
         strategies.integers(0, 2),
         strategies.sampled_from("ab"),
         strategies.booleans(),
--- a/features/steps/claims.py
+++ b/features/steps/claims.py
@@ -1,7 +1,9 @@
 """Steps for the claims library."""
 
 import sys
+import time
 from collections.abc import Callable
+from itertools import pairwise
 from typing import Any
 
 import anyio
@@ -13,6 +15,7 @@
 from fireflybridge_claims import (
     Abandoned,
     Attempt,
+    Batch,
     CaughtUp,
     ChosenKey,
     Claim,
@@ -34,6 +37,7 @@
     Started,
     Unavailable,
     decide_start,
+    decode_record,
     encode_batch,
     parse_key,
 )
@@ -210,6 +214,55 @@
     assert 900 < max(sizes) <= 1000, sizes
 
 
+@when("{count:d} claims arrive during an append of the claim log")
+def step_arrive(context: Context, count: int) -> None:
+    async def run() -> None:
+        context.log.gate = anyio.Event()
+        registrar = make_registrar(context)
+        async with anyio.create_task_group() as runner:
+            runner.start_soon(registrar.run)
+            async with anyio.create_task_group() as callers:
+                callers.start_soon(registrar.claim, make_claim(0))
+                while not context.log.appends:
+                    await anyio.sleep(0)
+                for key in range(1, count + 1):
+                    callers.start_soon(registrar.claim, make_claim(key))
+                await anyio.wait_all_tasks_blocked()
+                context.log.gate.set()
+            runner.cancel_scope.cancel()
+
+    prepare(context, MemoryLog())
+    anyio.run(run)
+
+
+@then("the claim log holds batches of {first:d} and {second:d} claims")
+def step_batch_sizes(context: Context, first: int, second: int) -> None:
+    batches = [decode_record(payload) for payload in context.log.payloads]
+    sizes = [len(batch.claims) for batch in batches if isinstance(batch, Batch)]
+    assert sizes == [first, second], batches
+
+
+@when("{count:d} claims follow each other with a minimum interval of {interval_ms:d} ms")
+def step_follow(context: Context, count: int, interval_ms: int) -> None:
+    async def run() -> None:
+        limits = RegistrarLimits(min_interval_s=interval_ms / 1000, claim_timeout_s=LONG_LIMIT_S)
+        registrar = Registrar(context.log, 0, NAMES["a"], time.monotonic, limits=limits)
+        async with anyio.create_task_group() as runner:
+            runner.start_soon(registrar.run)
+            for key in range(count):
+                assert await registrar.claim(make_claim(key)) == Granted()
+            runner.cancel_scope.cancel()
+
+    context.log = MemoryLog()
+    anyio.run(run)
+
+
+@then("claim appends begin at least {gap_ms:d} ms apart")
+def step_gaps(context: Context, gap_ms: int) -> None:
+    gaps = [later - earlier for earlier, later in pairwise(context.log.begun_s)]
+    assert min(gaps) >= gap_ms / 1000, gaps
+
+
 OLD, RECENT, NOW_S = Attempt(1, 0.0), Attempt(1, 800.0), 1000.0
 STATES = {
     "pending": Pending(NAMES["a"], Attempt(2, 990.0)),
--- a/standins/src/fireflybridge_standins/claim_probe/_memory_log.py
+++ b/standins/src/fireflybridge_standins/claim_probe/_memory_log.py
@@ -1,5 +1,6 @@
 """Log in memory with faults, for tests and measurements of the registrar."""
 
+import time
 from collections import deque
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -27,7 +28,8 @@
     """Hold one stream; each append takes the next fault, each read the next read fault.
 
     ``latency_s`` is the time of an append; the effect comes half way. A delayed effect comes at a
-    later call, in the order of ``faults``: after as many calls as ``delay_calls`` says.
+    later call, in the order of ``faults``: after as many calls as ``delay_calls`` says. Appends
+    wait for ``gate`` if there is one; ``begun_s`` holds the monotonic time at which each began.
     """
 
     faults: deque[Fault] = field(default_factory=deque)
@@ -35,17 +37,20 @@
     latency_s: float = 0.0
     slow_s: float = 0.0
     delay_calls: int = 2
+    gate: anyio.Event | None = None
     first_offset: int = 0
     payloads: list[bytes] = field(default_factory=list)
-    appends: int = 0
+    begun_s: list[float] = field(default_factory=list)
     reads: int = 0
     _floating: list[tuple[int, bytes]] = field(default_factory=list)
 
     async def append(self, stream: str, payload: bytes) -> Result[int, AppendFailure]:
         """Append a record, unless the next fault says otherwise."""
-        self.appends += 1
+        self.begun_s.append(time.monotonic())
         error = StepError("log.append", stream, "injected fault")
         fault = self._take(self.faults)
+        if self.gate is not None:
+            await self.gate.wait()
         await anyio.sleep(self.latency_s / 2 + (self.slow_s if fault is Fault.SLOW else 0.0))
         match fault:
             case Fault.REFUSE:
@@ -75,6 +80,11 @@
         records = tuple(Record(first + i, payload) for i, payload in enumerate(chosen))
         return Ok(Page(records, self.first_offset, first + len(records), self.end_offset))
 
+    @property
+    def appends(self) -> int:
+        """Return how many appends began."""
+        return len(self.begun_s)
+
     @property
     def end_offset(self) -> int:
         """Return the offset that the next append gets."""
