Test membership and ownership over tables, clusters and random histories

Cause: a wrong owner leaves an upstream idle or lets two daemons share its slots; both show only in sequences of loss, pause, restart and return.

--- a/features/membership.feature
+++ b/features/membership.feature
@@ -119,6 +119,23 @@
     When 3 s pass in which the memberships hear each other
     Then each resource is used by exactly one membership
 
+  Scenario: A paused daemon that hears the others first does not use what they took over
+    Given 5 memberships that start together and 300 upstreams
+    And the memberships hear each other
+    When membership 2 is paused for 4 s
+    And membership 2 resumes and hears the others, which do not hear it yet
+    Then no resource is used by two memberships
+
+  Scenario: A daemon that is listed as leaving has 3 s to see it
+    Given a membership "a" that joined daemon "b" which was "ready" and hears it
+    When the membership sees that "b" is "listed as leaving"
+    Then the membership uses the upstreams of "b" after 3.0 s
+
+  Scenario: A daemon that restarts within 3 s is known by its new incarnation
+    Given a membership that hears "b"
+    When the membership hears incarnation "b-2" of "b"
+    Then the membership knows that incarnation "b-2" of "b" is live
+
   Scenario: Members that flap at random never leave two owners among daemons that hear each other
     Then the membership invariants hold over 60 random histories of 4 daemons
 
--- a/features/steps/membership.py
+++ b/features/steps/membership.py
@@ -89,6 +89,18 @@
     context.membership.tick(context.now)
 
 
+@when('the membership hears incarnation "{incarnation}" of "{name}"')
+def hear_incarnation(context: Context, incarnation: str, name: str) -> None:
+    report = replace(report_daemon(name), incarnation=incarnation)
+    context.membership.hear(report, context.now)
+
+
+@then('the membership knows that incarnation "{incarnation}" of "{name}" is live')
+def check_incarnation(context: Context, incarnation: str, name: str) -> None:
+    live = {daemon.name: daemon.incarnation for daemon in context.membership.list_live(context.now)}
+    assert live == {name: incarnation}, live
+
+
 @then('the membership view is "{names}"')
 def check_view(context: Context, names: str) -> None:
     found = [candidate.name for candidate in context.membership.view(context.now).candidates]
@@ -159,7 +171,7 @@
 
 @given('a membership "a" that joined daemon "b" which was "{first}" and hears it')
 def join_daemon(context: Context, first: str) -> None:
-    context.now = 0.0
+    context.now, context.still_heard = 0.0, False
     context.membership = Membership("a", "x", context.now)
     context.membership.set_upstreams(make_upstreams(40), context.now)
     hear_state(context, "b", first)
@@ -177,6 +189,10 @@
         hear_state(context, "b", "ready")
     if event == "draining":
         hear_state(context, "b", event)
+    if event == "listed as leaving":
+        records = [make_record("a"), make_record("b", leaving=True)]
+        assert context.membership.apply_list(records, context.now) == Applied()
+    context.still_heard = event == "listed as leaving"
 
 
 @then('the membership uses the upstreams of "b" after {delay:g} s')
@@ -196,6 +212,8 @@
 def check_delay(context: Context, share: set[str], delay: float) -> None:
     if delay:
         context.now += delay - 0.01
+        if context.still_heard:
+            hear_state(context, "b", "ready")
         context.membership.tick(context.now)
         assert not share & set(list_used(context)), list_used(context)
         context.now += 0.01
@@ -299,6 +317,14 @@
     assert not member.list_upstreams(cluster.now) + member.list_shards(cluster.now)
 
 
+@when("membership {number:d} resumes and hears the others, which do not hear it yet")
+def resume_deaf(context: Context, number: int) -> None:
+    cluster = context.cluster
+    cluster.paused.clear()
+    for name in cluster.names:
+        cluster.members[f"d{number}"].hear(cluster.report(name), cluster.now)
+
+
 @when("membership {number:d} resumes and the memberships hear each other")
 def resume(context: Context, number: int) -> None:
     context.cluster.paused.clear()
