Stop the HTTP ports without cancelling hypercorn

Cause: a cancelled hypercorn raises InvalidStateError and left the daemon with exit code 1 after its drain. Change: both ports end by a stop event inside a shielded scope.

--- a/packages/daemon/src/fireflybridge_daemon/_daemon.py
+++ b/packages/daemon/src/fireflybridge_daemon/_daemon.py
@@ -28,6 +28,7 @@
 HOUSEKEEPING_S = 0.25
 # After the drain the last answers still have to reach their callers.
 ANSWER_GRACE_S = 2.0
+OPERATORS_GRACE_S = 0.5
 DEFAULT_KEEP_INTERVAL_S = 300.0
 BYTES_PER_MB = 1024 * 1024
 
@@ -41,6 +42,8 @@
         self.metrics = Metrics()
         self._group = group
         self._ready = False
+        self._operators_stop = anyio.Event()
+        self.callers_closed = anyio.Event()
         self._hooks = PoolHooks(self._deliver, self._is_wanted)
         keep_s = settings.log_retention_s / 2 or DEFAULT_KEEP_INTERVAL_S
         self.configuration = Configuration(log, self._make_runner, keep_s, self.metrics)
@@ -125,8 +128,8 @@
             serve_app,
             OperatorsApp(self),
             self.settings.operators_address,
-            anyio.sleep_forever,
-            0.0,
+            self._operators_stop.wait,
+            OPERATORS_GRACE_S,
         )
         self._ready = True
 
@@ -137,9 +140,10 @@
             app,
             self.settings.callers_address,
             stop.wait,
-            self.settings.drain_timeout_s + ANSWER_GRACE_S,
+            ANSWER_GRACE_S,
             task_status=task_status,
         )
+        self.callers_closed.set()
 
     async def drain(self, hurry: anyio.Event) -> None:
         """Finish everything accepted, at most for the drain timeout or until ``hurry`` is set."""
@@ -159,6 +163,10 @@
         if cut:
             log_event(Event.DRAIN_CUT, level="warning", submissions=cut)
 
+    def stop_operators(self) -> None:
+        """Close the operators' port."""
+        self._operators_stop.set()
+
     def _deliver(self, task: Task, outcome: Outcome) -> None:
         if not self.mover.settle(task, outcome):
             self.submissions.deliver(task, outcome)
@@ -242,8 +250,9 @@
                 front.start_soon(_set_on_signal, signals, hurry)
                 await daemon.drain(hurry)
                 stop.set()
-                await anyio.sleep(0)
-                front.start_soon(_cancel_after, front.cancel_scope, ANSWER_GRACE_S)
+                await daemon.callers_closed.wait()
+                daemon.stop_operators()
+                front.cancel_scope.cancel()
         group.cancel_scope.cancel()
     log_event(Event.DAEMON_STOPPED)
     return 0
@@ -257,8 +266,3 @@
 async def _cancel_when_set(event: anyio.Event, scope: anyio.CancelScope) -> None:
     await event.wait()
     scope.cancel()
-
-
-async def _cancel_after(scope: anyio.CancelScope, seconds: float) -> None:
-    await anyio.sleep(seconds)
-    scope.cancel()
--- a/packages/front/src/fireflybridge_front/_server.py
+++ b/packages/front/src/fireflybridge_front/_server.py
@@ -1,7 +1,9 @@
 """Runs an ASGI application on hypercorn."""
 
+import asyncio
 import socket
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from typing import Any
 
 import anyio
@@ -40,4 +42,7 @@
     # hypercorn takes the descriptor over and closes it.
     config.bind = [f"fd://{listener.detach()}"]
     task_status.started(bound)
-    await serve(app, config, shutdown_trigger=wait_stop)
+    # A cancelled hypercorn leaves its connections' tasks running, so it is stopped only by
+    # ``wait_stop``. It raises CancelledError when a connection outlives the graceful time.
+    with anyio.CancelScope(shield=True), suppress(asyncio.CancelledError):
+        await serve(app, config, shutdown_trigger=wait_stop)
--- a/standins/src/fireflybridge_standins/control.py
+++ b/standins/src/fireflybridge_standins/control.py
@@ -1,8 +1,10 @@
 """Small JSON control ports for stand-ins, served by hypercorn."""
 
+import asyncio
 import json
 import socket
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Any
 
 import anyio
@@ -49,4 +51,5 @@
     task_status.started("{}:{}".format(*listener.getsockname()))
     # hypercorn takes the descriptor over and closes it.
     config.bind = [f"fd://{listener.detach()}"]
-    await serve(app, config, shutdown_trigger=anyio.sleep_forever)
+    with suppress(asyncio.CancelledError):
+        await serve(app, config, shutdown_trigger=anyio.sleep_forever)
