Keep a cancelled link from ending the whole program

Cause: pynng answers a cancellation with a new CancelledError that anyio does not recognize, so the scope of a disconnected peer, or of an attempt that took too long, passed it on and every task ended. A link to a peer that accepts connections and never answers showed it: after disconnect the program was gone.

Change: one module wraps the awaits on pynng and restores anyio's cancellation.

--- a/packages/peers/src/fireflybridge_peers/_link.py
+++ b/packages/peers/src/fireflybridge_peers/_link.py
@@ -38,6 +38,7 @@
     SendFailure,
 )
 from fireflybridge_peers._settings import LinkCallbacks, LinkSettings, LinkStats, Lost, Stalled
+from fireflybridge_peers._sockets import dial_peer, exchange_frames
 
 # A request that is not acknowledged is sent again on a new connection, in case the peer's host went
 # without closing the old one. The first attempt covers a lost acknowledgement well before the peer
@@ -48,15 +49,9 @@
 # Queued messages are given back after the time after which a silent peer counts as lost: their
 # tasks still have a chance elsewhere.
 STALLED_AFTER_S = 3.0
-# The timers of Req0 cost 0.85 ms of CPU for each exchange at one exchange a second, more than all
-# the rest, and repeat the same bytes, whose remaining times are stale. So resending is done here.
-NO_RESEND = -1
-RECONNECT_MIN_MS = 50
-RECONNECT_MAX_MS = 1000
 BUSY_RETRY_S = 0.02
 FIRST_PAUSE_S = 0.05
 MAX_PAUSE_S = 1.0
-MAX_FRAME_BYTES = 2 * 1024 * 1024
 _LINK_BITS = 63
 
 
@@ -119,7 +114,7 @@
     async def run(self) -> None:
         """Open a session, exchange batches until the peer forgets it, and start again."""
         with self._scope:
-            self._socket = self._dial()
+            self._socket = dial_peer(self.address)
             try:
                 while True:
                     self._hello = self._make_hello()
@@ -201,7 +196,7 @@
                         self._callbacks.report(error)
                         await anyio.sleep(pause_s)
             self._socket.close()
-            self._socket = self._dial()
+            self._socket = dial_peer(self.address)
             if time.monotonic() - started >= STALLED_AFTER_S:
                 self._take_back_unsent()
             attempt_s, pause_s = min(attempt_s * 2, MAX_ATTEMPT_S), min(pause_s * 2, MAX_PAUSE_S)
@@ -210,21 +205,13 @@
         started = time.monotonic()
         self._sent_bytes += len(frame)
         try:
-            await self._send_frame(frame)
-            data = await self._socket.arecv()
+            data = await exchange_frames(self._socket, frame)
         except pynng.NNGException as error:
             return Err(StepError("peers.exchange", self.peer, str(error)))
         self._received_bytes += len(data)
         self._round_trip_s = time.monotonic() - started
         return self._open_reply(data, split_code(frame))
 
-    async def _send_frame(self, frame: bytes) -> None:
-        try:
-            # A completed asynchronous send wakes the event loop from another thread.
-            self._socket.send(frame, block=False)
-        except pynng.TryAgain:
-            await self._socket.asend(frame)
-
     def _open_reply(self, data: bytes, request_code: bytes) -> Result[Reply, StepError]:
         match split_frame(data, self.peer):
             case Ok(frame):
@@ -240,14 +227,6 @@
         link = secrets.randbits(_LINK_BITS)
         return Hello(self._settings.name, self._settings.incarnation, link)
 
-    def _dial(self) -> pynng.Req0:
-        socket = pynng.Req0(resend_time=NO_RESEND)
-        socket.reconnect_time_min = RECONNECT_MIN_MS
-        socket.reconnect_time_max = RECONNECT_MAX_MS
-        socket.recv_max_size = MAX_FRAME_BYTES
-        socket.dial(f"tcp://{self.address}", block=False)
-        return socket
-
     def _take_back_unsent(self) -> None:
         self._stalled = True
         unsent = self._outbox.take_all()
--- a/packages/peers/src/fireflybridge_peers/_links.py
+++ b/packages/peers/src/fireflybridge_peers/_links.py
@@ -10,11 +10,12 @@
 
 from fireflybridge_core import StepError
 from fireflybridge_peers._heartbeats import HeartbeatTimes
-from fireflybridge_peers._link import MAX_FRAME_BYTES, PeerLink
+from fireflybridge_peers._link import PeerLink
 from fireflybridge_peers._messages import Message
 from fireflybridge_peers._outbox import SendFailure, UnknownPeer
 from fireflybridge_peers._receiver import Delivery, Receiver
 from fireflybridge_peers._settings import LinkCallbacks, LinkSettings, LinkStats
+from fireflybridge_peers._sockets import listen_to_peers, receive_frame
 
 # With batches of at most 1 MiB the messages that wait for handling stay under 16 MiB.
 MAX_INBOX_BATCHES = 16
@@ -38,8 +39,7 @@
         """Serve the listener and the links until cancelled; report the listener's ``ip:port``."""
         sender, inbox = anyio.create_memory_object_stream[Delivery](MAX_INBOX_BATCHES)
         receiver = Receiver(self._settings, self._callbacks, self._times, sender)
-        with pynng.Rep0(recv_max_size=MAX_FRAME_BYTES) as socket, sender, inbox:
-            socket.listen(f"tcp://{self._settings.listen}")
+        with listen_to_peers(self._settings.listen) as socket, sender, inbox:
             async with anyio.create_task_group() as tasks:
                 self._tasks = tasks
                 tasks.start_soon(self._deliver, inbox)
@@ -83,7 +83,7 @@
     async def _serve(self, socket: pynng.Rep0, receiver: Receiver) -> None:
         while True:
             try:
-                request = await socket.arecv()
+                request = await receive_frame(socket)
                 # The peer asks again when a reply is not sent, as after its connection broke.
                 socket.send(receiver.answer(request, time.monotonic()), block=False)
             except pynng.NNGException as error:
--- /dev/null
+++ b/packages/peers/src/fireflybridge_peers/_sockets.py
@@ -0,0 +1,59 @@
+"""Frames over pynng sockets."""
+
+import asyncio
+from collections.abc import Awaitable
+from typing import TypeVar
+
+import pynng
+from anyio.lowlevel import checkpoint_if_cancelled
+
+MAX_FRAME_BYTES = 2 * 1024 * 1024
+RECONNECT_MIN_MS = 50
+RECONNECT_MAX_MS = 1000
+# The timers of Req0 cost 0.85 ms of CPU for each exchange at one exchange a second, more than all
+# the rest, and repeat the same bytes, whose remaining times are stale. So links send again
+# themselves.
+NO_RESEND = -1
+
+T = TypeVar("T")
+
+
+def dial_peer(address: str) -> pynng.Req0:
+    """Return a requesting socket that connects, and connects again, to ``ip:port``."""
+    socket = pynng.Req0(resend_time=NO_RESEND, recv_max_size=MAX_FRAME_BYTES)
+    socket.reconnect_time_min = RECONNECT_MIN_MS
+    socket.reconnect_time_max = RECONNECT_MAX_MS
+    socket.dial(f"tcp://{address}", block=False)
+    return socket
+
+
+def listen_to_peers(address: str) -> pynng.Rep0:
+    """Return a replying socket that listens on ``ip:port``."""
+    return pynng.Rep0(listen=f"tcp://{address}", recv_max_size=MAX_FRAME_BYTES)
+
+
+async def exchange_frames(socket: pynng.Req0, frame: bytes) -> bytes:
+    """Send a request, waiting for a connection if there is none, and return its reply."""
+    try:
+        # A completed asynchronous send would wake the event loop from another thread.
+        socket.send(frame, block=False)
+    except pynng.TryAgain:
+        await _keep_cancellation(socket.asend(frame))
+    return await receive_frame(socket)
+
+
+async def receive_frame(socket: pynng.Socket) -> bytes:
+    """Return the next frame."""
+    return await _keep_cancellation(socket.arecv())
+
+
+async def _keep_cancellation(operation: Awaitable[T]) -> T:
+    """Await an operation of pynng, which replaces a cancellation by one that anyio does not know.
+
+    Without this the cancelled scope would not catch it, and the whole program would end.
+    """
+    try:
+        return await operation
+    except asyncio.CancelledError:
+        await checkpoint_if_cancelled()
+        raise
