Keep accepted tasks from being moved on to a third daemon

Cause: a daemon answered pulls with tasks that it had itself pulled, even to their origin. Their results found no waiting job, the job failed at its deadline and a drain waited for ever. Ruled out: lost messages, hypercorn. Change: accepted tasks are pinned in the queue; the HTTP ports stop by an event also when the daemon is cancelled. Conclusion: moved tasks return only to their origin.

--- a/packages/daemon/src/fireflybridge_daemon/_daemon.py
+++ b/packages/daemon/src/fireflybridge_daemon/_daemon.py
@@ -102,6 +102,8 @@
             "log_reachable": self.configuration.log_reachable,
             "submissions_running": self.book.running,
             "submissions_kept": len(self.book),
+            "tasks_assigned_to_peers": self.mover.assigned,
+            "tasks_accepted_from_peers": self.mover.accepted,
             "claims_remembered": self.claims.remembered,
             "peers": self.peering.describe_peers(),
             "pools": [
--- a/packages/daemon/src/fireflybridge_daemon/_mover.py
+++ b/packages/daemon/src/fireflybridge_daemon/_mover.py
@@ -102,6 +102,16 @@
         self._moved_in = metrics.moved.labels("in")
         self._wasted = metrics.wasted_messages
 
+    @property
+    def assigned(self) -> int:
+        """Return how many local tasks peers run."""
+        return len(self._assigned)
+
+    @property
+    def accepted(self) -> int:
+        """Return how many tasks of peers are here."""
+        return len(self._accepted)
+
     async def wait_idle(self) -> None:
         """Wait until no peer's task is left here."""
         while self._accepted:
@@ -128,13 +138,13 @@
         """Tell peers about queued tasks that no own slot is free for."""
         runner = self._exchange.find_runner(pool)
         now = self._clock()
-        if runner is None or runner.queue.queued == 0:
+        if runner is None or runner.queue.movable == 0:
             return
         if now - self._announced.get(pool, 0.0) < BACKLOG_INTERVAL_S:
             return
         self._announced[pool] = now
         for peer in self._exchange.find_helpers(pool, MAX_BACKLOG_PEERS):
-            self._exchange.send(peer, Backlog(pool, runner.queue.queued))
+            self._exchange.send(peer, Backlog(pool, runner.queue.movable))
 
     def note_backlog(self, peer: str, pool: str, queued: int) -> None:
         """Remember how many tasks a peer has queued, and pull some if slots are free."""
@@ -204,7 +214,7 @@
         for task in tasks:
             self._accepted[task.id] = Accepted(peer, incarnation, message.assignment)
         self._moved_in.inc(len(tasks))
-        runner.queue.put(tasks)
+        runner.queue.accept(tasks)
 
     def receive_results(self, peer: str, message: Results) -> None:
         """Deliver the outcomes of tasks that a peer ran."""
--- a/packages/dispatch/src/fireflybridge_dispatch/_backlog.py
+++ b/packages/dispatch/src/fireflybridge_dispatch/_backlog.py
@@ -1,6 +1,7 @@
 """Queued work of one class: lanes of jobs, one for each team, ranked by fair share."""
 
 import heapq
+import math
 from collections import deque
 from collections.abc import Callable, Iterator
 from itertools import count
@@ -8,10 +9,11 @@
 from fireflybridge_core import Task
 from fireflybridge_dispatch._classes import WorkClass
 from fireflybridge_dispatch._estimates import RunTime
-from fireflybridge_dispatch._order import JobView, order_job, will_miss
-from fireflybridge_dispatch._shares import rank_share
+from fireflybridge_dispatch._order import JobView, find_due, will_miss
+from fireflybridge_dispatch._shares import Use, average_use, rank_share
 
-DEADLINE_BUCKET_S = 0.5
+DUE_BUCKET_S = 0.5
+NEGLIGIBLE_S = 1e-6  # work that rounding leaves behind
 SPARE_RANKS = 64  # outdated ranks kept, beside as many as there are valid ones, before a rebuild
 
 _serial = count()
@@ -38,13 +40,24 @@
 class Job:
     """Hold the queued tasks of one submission."""
 
-    __slots__ = ("deadline", "key", "lane", "mean_s", "spoiled", "tasks", "typical_s", "work_class")
+    __slots__ = (
+        "deadline",
+        "due",
+        "key",
+        "lane",
+        "mean_s",
+        "spoiled",
+        "tasks",
+        "typical_s",
+        "work_class",
+    )
 
     def __init__(
         self, tasks: deque[Task], lane: "Lane", work_class: WorkClass, run_time: RunTime
     ) -> None:
         self.key = tasks[0].id.key
         self.deadline = tasks[0].deadline
+        self.due = 0.0
         self.tasks = tasks
         self.lane = lane
         self.work_class = work_class
@@ -53,35 +66,50 @@
         self.spoiled = False  # a task of it ended without a result, so it cannot become complete
 
 
+class WorkSum:
+    """Sum queued work in slot seconds, by the time it is due."""
+
+    __slots__ = ("_buckets", "work_s")
+
+    def __init__(self) -> None:
+        self._buckets: dict[int, float] = {}
+        self.work_s = 0.0
+
+    def add(self, bucket: int, work_s: float) -> None:
+        """Add work to a bucket of due times, or remove it if negative."""
+        rest_s = self._buckets.get(bucket, 0.0) + work_s
+        self.work_s += work_s
+        if rest_s > NEGLIGIBLE_S:
+            self._buckets[bucket] = rest_s
+        else:
+            self._buckets.pop(bucket, None)
+            if not self._buckets:
+                self.work_s = 0.0
+
+    def sum_until(self, due: float) -> float:
+        """Return the work that is due no later."""
+        limit = int(due / DUE_BUCKET_S)
+        return sum(work_s for bucket, work_s in self._buckets.items() if bucket <= limit)
+
+
 class Lane:
-    """Hold a team's jobs of one class in order, and their work in slot seconds by deadline."""
+    """Hold a team's jobs of one class in order."""
 
-    __slots__ = ("buckets", "jobs", "queued", "team", "version", "work_s")
+    __slots__ = ("jobs", "queued", "running", "team", "use", "version", "work")
 
     def __init__(self, team: Team) -> None:
         self.team = team
-        self.jobs: list[tuple[tuple[int, float], int, Job]] = []
-        self.buckets: dict[int, float] = {}
+        self.jobs: list[tuple[tuple[float, float], int, Job]] = []
+        self.work = WorkSum()
         self.queued = 0
-        self.work_s = 0.0
+        self.running = 0
+        self.use = Use(0.0, 0.0)
         self.version = 0
 
-    def add_work(self, job: Job, tasks: int) -> None:
-        """Account for tasks that were queued, or with a negative number removed."""
-        work_s = tasks * job.mean_s
-        bucket = int(job.deadline / DEADLINE_BUCKET_S)
-        rest_s = self.buckets.get(bucket, 0.0) + work_s
-        self.queued += tasks
-        self.work_s = max(0.0, self.work_s + work_s)
-        if rest_s > 1e-6:
-            self.buckets[bucket] = rest_s
-        else:
-            self.buckets.pop(bucket, None)
-
-    def sum_ahead(self, deadline: float) -> float:
-        """Return the slot seconds of queued work whose deadline is no later."""
-        limit = int(deadline / DEADLINE_BUCKET_S)
-        return sum(work_s for bucket, work_s in self.buckets.items() if bucket <= limit)
+    def change_use(self, slots: int, now: float) -> None:
+        """Change the number of slots in use."""
+        self.use = average_use(self.use, self.running, now)
+        self.running += slots
 
 
 class Backlog:
@@ -89,17 +117,20 @@
 
     def __init__(self, find_slots: Callable[[], int]) -> None:
         self._find_slots = find_slots
-        self._ranks: list[tuple[float, tuple[int, float], int, int, Lane]] = []
+        self._ranks: list[tuple[float, tuple[float, float], int, int, Lane]] = []
         self._rebuild_at = SPARE_RANKS
         self._late: list[tuple[float, int, Job]] = []
         self.lanes: dict[str, Lane] = {}
+        self.fair_slots = math.inf  # per unit of weight
         self.queued = 0
-        self.work_s = 0.0
+        self.work = WorkSum()
 
-    def add(self, job: Job) -> None:
+    def add(self, job: Job, now: float) -> None:
         """Queue a job."""
-        lane, view = job.lane, JobView(job.deadline, len(job.tasks), job.mean_s, job.typical_s)
-        entry = (order_job(view), next(_serial), job)
+        lane = job.lane
+        view = JobView(now, job.deadline, len(job.tasks), job.mean_s, job.typical_s)
+        job.due = find_due(view, self._find_slots())
+        entry = ((job.due, len(job.tasks) * job.mean_s), next(_serial), job)
         heapq.heappush(lane.jobs, entry)
         self._account(job, len(job.tasks))
         if lane.jobs[0] is entry:
@@ -110,7 +141,8 @@
         lane.version += 1
         if not lane.jobs:
             return
-        share = rank_share(lane.team.running, lane.team.weight)
+        tasks = len(lane.jobs[0][2].tasks)
+        share = rank_share(lane.running, tasks, lane.team.weight, self.fair_slots)
         place = (share, lane.jobs[0][0], next(_serial), lane.version, lane)
         if len(self._ranks) >= self._rebuild_at:
             self._ranks = [rank for rank in self._ranks if rank[3] == rank[4].version]
@@ -188,9 +220,12 @@
 
     def _account(self, job: Job, tasks: int) -> None:
         """Add a number of tasks of the job to the sums of its lane and class."""
-        job.lane.add_work(job, tasks)
+        work_s = tasks * job.mean_s
+        bucket = int(job.due / DUE_BUCKET_S)
+        job.lane.work.add(bucket, work_s)
+        self.work.add(bucket, work_s)
+        job.lane.queued += tasks
         self.queued += tasks
-        self.work_s = max(0.0, self.work_s + tasks * job.mean_s)
         if job.lane.queued:
             self.lanes[job.lane.team.name] = job.lane
         else:
--- a/packages/dispatch/src/fireflybridge_dispatch/_order.py
+++ b/packages/dispatch/src/fireflybridge_dispatch/_order.py
@@ -2,24 +2,31 @@
 
 from dataclasses import dataclass
 
-# Jobs whose deadlines lie within one such step are ordered by their remaining work, so that a
-# single request does not wait behind a job of 300 that came a moment earlier.
-DEADLINE_STEP_S = 1.0
+# A job lets others pass for this long for each slot second of its work, so that a single request
+# does not wait behind a job of 300 tasks that came some seconds earlier.
+YIELD_PER_WORK = 1.0
+START_MARGIN_S = 0.5  # kept between a job's latest start and its deadline beside its run time
 
 
 @dataclass(frozen=True, slots=True)
 class JobView:
-    """Describe what is left of a queued job: times in seconds, ``deadline`` on the queue's clock."""
+    """Describe a job: times in seconds, ``arrival`` and ``deadline`` on the queue's clock."""
 
+    arrival: float
     deadline: float
     tasks: int
     mean_s: float
     typical_s: float
 
 
-def order_job(job: JobView) -> tuple[int, float]:
-    """Return the sort key of a job: earliest deadline first, then smallest remaining work."""
-    return int(job.deadline / DEADLINE_STEP_S), job.tasks * job.mean_s
+def find_due(job: JobView, slots: int) -> float:
+    """Return when a job is due to start, on the queue's clock; the earliest due is next.
+
+    A job is due when it must start to meet its deadline, a small job already soon after arrival.
+    """
+    work_s = job.tasks * job.mean_s
+    need_s = job.typical_s + 2.0 * work_s / slots + START_MARGIN_S
+    return max(job.arrival, min(job.deadline - need_s, job.arrival + YIELD_PER_WORK * work_s))
 
 
 def will_miss(
--- a/packages/dispatch/src/fireflybridge_dispatch/_queue.py
+++ b/packages/dispatch/src/fireflybridge_dispatch/_queue.py
@@ -9,6 +9,7 @@
 from fireflybridge_core import Cause, Done, MayHaveRun, NotRun, Outcome, Task, TaskId
 from fireflybridge_dispatch._admission import (
     MAX_QUEUED,
+    MOST_OF_WINDOW,
     NO_SLOTS_RETRY_S,
     QUEUE_FULL_RETRY_S,
     Admission,
@@ -18,14 +19,23 @@
     Refused,
     Request,
     TeamWork,
+    adapt_window_part,
     decide_admission,
 )
+from fireflybridge_dispatch._arrivals import ArrivalRates
 from fireflybridge_dispatch._attempts import decide_return
 from fireflybridge_dispatch._backlog import Backlog, Job, Team
 from fireflybridge_dispatch._classes import WorkClass, classify, find_long_limits, order_classes
 from fireflybridge_dispatch._estimates import RunTime, RunTimes
+from fireflybridge_dispatch._order import JobView, find_due
 from fireflybridge_dispatch._returned import ReturnedTasks
-from fireflybridge_dispatch._shares import limit_slots
+from fireflybridge_dispatch._shares import (
+    Use,
+    average_use,
+    find_demand,
+    find_fair_slots,
+    limit_slots,
+)
 from fireflybridge_dispatch._snapshot import QueueSnapshot, TeamSnapshot
 from fireflybridge_dispatch._takers import Taker, Takers
 from fireflybridge_tables import Pool, Quota
@@ -52,10 +62,12 @@
 
     def __init__(self, pool: Pool, clock: Callable[[], float]) -> None:
         self._clock = clock
+        self._total = self._local = sum(upstream.slots for upstream in pool.upstreams)
         self._run_times = RunTimes()
         self._takers = Takers()
         self._returned = ReturnedTasks()
         self._backlogs = tuple(Backlog(self._count_slots) for _ in WorkClass)
+        self._arrivals = tuple(ArrivalRates() for _ in WorkClass)
         self._teams: dict[str, Team] = {}
         self._kinds: dict[tuple[str, str], WorkClass] = {}
         self._probes: dict[tuple[str, str], float] = {}
@@ -67,8 +79,9 @@
         self._running_by_class = [0 for _ in WorkClass]
         self._remote = 0
         self._passes = 0
+        self._window_parts = [MOST_OF_WINDOW for _ in WorkClass]
+        self._long_use = Use(find_long_limits(self._total).ceiling, clock())
         self._backlog_since = clock()
-        self._total = self._local = sum(upstream.slots for upstream in pool.upstreams)
         self.configure(pool)
 
     @property
@@ -77,6 +90,11 @@
         short, long = self._backlogs
         return short.queued + long.queued + len(self._returned)
 
+    @property
+    def movable(self) -> int:
+        """Return the number of waiting tasks that another daemon may pull."""
+        return self.queued - self._returned.pinned
+
     @property
     def free(self) -> int:
         """Return the number of slots that wait for a task."""
@@ -103,18 +121,26 @@
         first = tasks[0]
         run_time, work_class = self._estimate(first)
         team, backlog = self._find_team(first.team), self._backlogs[work_class]
+        now, slots = self._clock(), self._count_slots()
+        view = JobView(now, first.deadline, len(tasks), run_time.mean_s, run_time.typical_s)
+        due = find_due(view, slots)
         request = Request(
-            window_s=first.deadline - self._clock(),
+            window_s=first.deadline - now,
             work_s=len(tasks) * run_time.mean_s,
-            ahead_s=team.lanes[work_class].sum_ahead(first.deadline),
+            ahead_s=team.lanes[work_class].work.sum_until(due),
             typical_s=run_time.typical_s,
             high_s=run_time.high_s,
             weight=team.weight,
             slots=team.limit,
         )
-        load = Load(self._count_class_slots(work_class), backlog.work_s)
+        load = Load(
+            slots=self._count_class_slots(work_class),
+            ahead_s=backlog.work.sum_until(due),
+            passing_s=self._arrivals[work_class].sum_passing(now, due - now),
+            window_part=self._window_parts[work_class],
+        )
         others = (
-            TeamWork(lane.work_s, lane.team.weight) for lane in backlog.walk_other_lanes(team)
+            TeamWork(lane.work.work_s, lane.team.weight) for lane in backlog.walk_other_lanes(team)
         )
         match decide_admission(request, load, others):
             case Refused() if self._may_probe(first):
@@ -130,7 +156,10 @@
         if not self.queued:
             self._backlog_since = self._clock()
         job = Job(deque(tasks), team.lanes[work_class], work_class, run_time)
-        backlog.add(job)
+        now = self._clock()
+        backlog.add(job, now)
+        work_s = len(tasks) * run_time.mean_s
+        self._arrivals[work_class].add(now, job.due - now, work_s)
         self._jobs.setdefault(job.key, []).append(job)
         if len(self._deadlines) >= self._rebuild_at:
             self._deadlines = [entry for entry in self._deadlines if entry[2].tasks]
@@ -139,6 +168,15 @@
         heapq.heappush(self._deadlines, (job.deadline, next(self._serial), job))
         self._hand_out()
 
+    def accept(self, tasks: Sequence[Task]) -> None:
+        """Queue tasks that another daemon handed over; they are never moved on."""
+        now = self._clock()
+        for task in tasks:
+            _, work_class = self._estimate(task)
+            self._returned.pin(task.id)
+            self._returned.add(task, self._find_team(task.team), work_class, frozenset(), now)
+        self._hand_out()
+
     async def take(self, upstream: str) -> Task:
         """Wait for the next task that a free slot of the upstream may run.
 
@@ -203,11 +241,16 @@
         """
         now = self._clock()
         expired = [one.task for one in self._returned.remove_expired(now)]
+        counts = [0 for _ in WorkClass]
         while self._deadlines and self._deadlines[0][0] <= now:
             job = heapq.heappop(self._deadlines)[2]
             if job.tasks:
+                counts[job.work_class] += len(job.tasks)
                 expired.extend(self._backlogs[job.work_class].clear(job))
                 self._drop(job)
+        self._window_parts = [*map(adapt_window_part, self._window_parts, counts)]
+        self._sample_long_use(now)
+        self._refresh_shares(now)
         self._hand_out()
         return tuple(expired)
 
@@ -226,7 +269,7 @@
             running=len(self._running),
             running_long=self._running_by_class[WorkClass.LONG],
             free=self.free,
-            wait_s=short.work_s / self._count_class_slots(WorkClass.SHORT),
+            wait_s=short.work.work_s / self._count_class_slots(WorkClass.SHORT),
             teams=tuple(sorted(teams, key=lambda row: row.team)),
         )
 
@@ -269,13 +312,13 @@
         """Remove and return the next task for a slot of the upstream, and count it as running."""
         now = self._clock()
         if self._returned and (again := self._returned.take(upstream, now)) is not None:
-            self._start(again.task, _Start(again.team, again.work_class, upstream))
+            self._start(again.task, _Start(again.team, again.work_class, upstream), now)
             return again.task
         job = self._find_job(now)
         if job is None:
             return None
         task = self._backlogs[job.work_class].take(job)
-        self._start(task, _Start(job.lane.team, job.work_class, upstream))
+        self._start(task, _Start(job.lane.team, job.work_class, upstream), now)
         if not job.tasks:
             self._drop(job)
         return task
@@ -294,7 +337,7 @@
                     return job
         return None
 
-    def _start(self, task: Task, start: _Start) -> None:
+    def _start(self, task: Task, start: _Start, now: float) -> None:
         """Count a task as running."""
         self._running[task.id] = start
         self._running_by_class[start.work_class] += 1
@@ -303,7 +346,7 @@
             self._passes = 0
         elif self._backlogs[WorkClass.LONG].queued:
             self._passes += 1
-        self._change_use(start.team, 1)
+        self._change_use(start.team, start.work_class, 1, now)
 
     def _release(self, task_id: TaskId) -> _Start | None:
         """Count a task as no longer running."""
@@ -311,16 +354,31 @@
         if start is not None:
             self._running_by_class[start.work_class] -= 1
             self._remote -= start.upstream == REMOTE
-            self._change_use(start.team, -1)
+            self._change_use(start.team, start.work_class, -1, self._clock())
         return start
 
-    def _change_use(self, team: Team, slots: int) -> None:
+    def _change_use(self, team: Team, work_class: WorkClass, slots: int, now: float) -> None:
         """Change the slots that a team uses, and with it the team's place."""
         team.running += slots
+        lane = team.lanes[work_class]
+        lane.change_use(slots, now)
         for backlog, lane in zip(self._backlogs, team.lanes, strict=True):
             if lane.jobs:
                 backlog.rank(lane)
 
+    def _refresh_shares(self, now: float) -> None:
+        """Find the fair share of this moment, and each waiting team's place in it."""
+        for work_class, backlog in zip(WorkClass, self._backlogs, strict=True):
+            lanes = [team.lanes[work_class] for team in self._teams.values()]
+            for lane in lanes:
+                lane.change_use(0, now)
+            backlog.fair_slots = find_fair_slots(
+                self._count_class_slots(work_class),
+                (find_demand(lane.use, lane.work.work_s, lane.team.weight) for lane in lanes),
+            )
+            for lane in backlog.lanes.values():
+                backlog.rank(lane)
+
     def _learn(self, task: Task, upstream: str, run_s: float) -> None:
         """Learn from a run time in seconds."""
         if run_s <= 0.0:
@@ -381,7 +439,7 @@
         for team in self._teams.values():
             quota = self._quotas.get(team.name, Quota(team.name))
             team.weight, team.limit = quota.weight, limit_slots(quota, max(self._total, 1))
-            self._change_use(team, 0)
+        self._refresh_shares(self._clock())
         self._hand_out()
 
     def _count_slots(self) -> int:
@@ -390,13 +448,23 @@
         return max(1, self._total if young else self._local + self._remote)
 
     def _count_class_slots(self, work_class: WorkClass) -> float:
-        """Return the slots that a class can count on beside the other class's running tasks."""
+        """Return the slots that a class can count on beside the other class."""
         slots = self._count_slots()
         limits = find_long_limits(slots)
-        short, long = self._backlogs
-        long_use = min(max(self._running_by_class[WorkClass.LONG], limits.floor), limits.ceiling)
+        long_use = min(max(self._long_use.slots, limits.floor), limits.ceiling)
         if work_class is WorkClass.LONG:
-            return max(1, long_use if short.queued else limits.ceiling)
+            return max(1.0, long_use)
+        running_long = self._running_by_class[WorkClass.LONG]
+        return max(
+            1.0, slots - (long_use if self._backlogs[WorkClass.LONG].queued else running_long)
+        )
+
+    def _sample_long_use(self, now: float) -> None:
+        """Learn how many slots long work gets of late: what it uses, and what it could use."""
+        limits = find_long_limits(self._count_slots())
+        long = self._backlogs[WorkClass.LONG]
+        usable = self._running_by_class[WorkClass.LONG]
         if not long.queued:
-            long_use = min(self._running_by_class[WorkClass.LONG], limits.ceiling)
-        return max(1, slots - long_use)
+            idle = self._count_slots() - len(self._running)
+            usable = min(limits.ceiling, usable + max(0, idle))
+        self._long_use = average_use(self._long_use, usable, now)
--- a/packages/dispatch/src/fireflybridge_dispatch/_returned.py
+++ b/packages/dispatch/src/fireflybridge_dispatch/_returned.py
@@ -33,6 +33,16 @@
     def __init__(self) -> None:
         self._tasks: dict[TaskId, Returned] = {}
         self._tried: dict[TaskId, frozenset[str]] = {}
+        self._pinned: set[TaskId] = set()
+
+    @property
+    def pinned(self) -> int:
+        """Return how many of the waiting tasks must stay in this daemon."""
+        return sum(task_id in self._pinned for task_id in self._tasks) if self._pinned else 0
+
+    def pin(self, task_id: TaskId) -> None:
+        """Keep a task of another daemon from being moved on until it has ended."""
+        self._pinned.add(task_id)
 
     def __len__(self) -> int:
         return len(self._tasks)
@@ -47,8 +57,13 @@
         self._tasks[task.id] = Returned(task, team, work_class, tried, now + AVOID_S)
 
     def take(self, upstream: str, now: float) -> Returned | None:
-        """Remove and return the first task that a slot of the upstream may take."""
+        """Remove and return the first task that a slot of the upstream may take.
+
+        An empty upstream stands for another daemon.
+        """
         for returned in self._tasks.values():
+            if not upstream and returned.task.id in self._pinned:
+                continue
             if may_take(returned, upstream, now):
                 return self._tasks.pop(returned.task.id)
         return None
@@ -56,6 +71,7 @@
     def forget(self, task_id: TaskId) -> None:
         """Drop what is known of a task that ended."""
         self._tried.pop(task_id, None)
+        self._pinned.discard(task_id)
 
     def remove_key(self, key: str) -> tuple[Returned, ...]:
         """Remove and return the tasks of a submission."""
--- a/packages/dispatch/src/fireflybridge_dispatch/_shares.py
+++ b/packages/dispatch/src/fireflybridge_dispatch/_shares.py
@@ -1,15 +1,67 @@
 """Fair shares of a pool's slots between teams."""
 
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass
+
 from fireflybridge_tables import Quota
 
+USE_MEMORY_S = 5.0  # a team may run a large job at once if it used little in this time
+
+
+@dataclass(frozen=True, slots=True)
+class Use:
+    """Hold the slots a team used on average of late, as of ``at`` on the queue's clock."""
+
+    slots: float
+    at: float
+
+
+def average_use(use: Use, running: int, now: float) -> Use:
+    """Return the average use after ``running`` slots were in use since the last one."""
+    fade = math.exp((use.at - now) / USE_MEMORY_S)
+    return Use(running + (use.slots - running) * fade, now)
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """Hold the slots that a team would use if it got all it asks for, and its weight."""
+
+    slots: float
+    weight: float
+
+
+def find_demand(use: Use, queued_s: float, weight: float) -> Demand:
+    """Return the demand of a team that has ``queued_s`` slot seconds of work waiting."""
+    return Demand(use.slots + queued_s / USE_MEMORY_S, weight)
+
+
+def find_fair_slots(slots: float, demands: Iterable[Demand]) -> float:
+    """Return the slots for a unit of weight that share out ``slots`` fairly.
+
+    Teams that ask for less than their share get what they ask for; the rest is divided between
+    the others. Infinite if there is enough for all.
+    """
+    waiting = sorted(demands, key=lambda demand: demand.slots / demand.weight)
+    weight_sum = sum(demand.weight for demand in waiting)
+    for demand in waiting:
+        level = slots / weight_sum
+        if demand.slots > level * demand.weight:
+            return level
+        slots -= demand.slots
+        weight_sum -= demand.weight
+    return math.inf
+
 
-def rank_share(running: int, weight: float) -> float:
-    """Return the rank of a team: the one that uses the fewest slots for its weight is next.
+def rank_share(running: int, tasks: int, weight: float, fair_slots: float) -> float:
+    """Return the rank of a team: the slots for its weight that it holds once its next job runs.
 
-    Slots in use are compared, not past use, so a team that comes with new work is served at once
-    until it holds as many slots for its weight as the others, whatever they have queued.
+    The lowest is next. Slots in use are compared, not past use, so a team that comes with new work
+    is served until it holds as many slots for its weight as the others, whatever they have
+    queued. A job counts with its queued tasks up to the team's fair share of ``fair_slots`` per
+    unit of weight, so a single request passes another team's large job, but not its fair share.
     """
-    return running / weight
+    return running / weight + min(tasks / weight, fair_slots)
 
 
 def limit_slots(quota: Quota, slots: int) -> int:
--- a/packages/front/src/fireflybridge_front/_callers.py
+++ b/packages/front/src/fireflybridge_front/_callers.py
@@ -110,7 +110,12 @@
             case Failed(outcomes=outcomes):
                 tasks = [describe_outcome(outcome) for outcome in outcomes]
                 refused = Refused(Problem.JOB_FAILED, judge_ran(outcomes), count_states(outcomes))
-                members = {"request_ran": refused.ran, "key": key, "state": "failed", "tasks": tasks}
+                members = {
+                    "request_ran": refused.ran,
+                    "key": key,
+                    "state": "failed",
+                    "tasks": tasks,
+                }
                 return self._render_refused(refused, **members)
             case Refused():
                 return self._render_refused(answer)
--- a/packages/front/src/fireflybridge_front/_server.py
+++ b/packages/front/src/fireflybridge_front/_server.py
@@ -42,7 +42,20 @@
     # hypercorn takes the descriptor over and closes it.
     config.bind = [f"fd://{listener.detach()}"]
     task_status.started(bound)
-    # A cancelled hypercorn leaves its connections' tasks running, so it is stopped only by
-    # ``wait_stop``. It raises CancelledError when a connection outlives the graceful time.
+    stop = anyio.Event()
+    async with anyio.create_task_group() as group:
+        group.start_soon(_serve_shielded, app, config, stop)
+        try:
+            await wait_stop()
+        finally:
+            stop.set()
+
+
+async def _serve_shielded(app: Any, config: Config, stop: anyio.Event) -> None:
+    """Serve until ``stop`` is set, also when the surrounding task is cancelled.
+
+    A cancelled hypercorn leaves its connections' tasks running. It raises CancelledError when a
+    connection outlives the graceful time.
+    """
     with anyio.CancelScope(shield=True), suppress(asyncio.CancelledError):
-        await serve(app, config, shutdown_trigger=wait_stop)
+        await serve(app, config, shutdown_trigger=stop.wait)
