Give each log event its level and fields in the catalogue

Three events were listed but never written: upstream ejected, claim record unreadable and request failed. They are written now, and a request that meets a fault of the daemon itself gets a problem body with the truthful may-have-run in place of an empty 500. The level moves from the call to the catalogue, so that a page of events can be checked against it.

--- a/packages/daemon/src/fireflybridge_daemon/_claiming.py
+++ b/packages/daemon/src/fireflybridge_daemon/_claiming.py
@@ -15,6 +15,7 @@
     Granted,
     HeldBy,
     LogFailed,
+    RecordSkipped,
     Registrar,
     RegistrarLimits,
     Report,
@@ -147,7 +148,14 @@
         match report:
             case LogFailed(shard=shard, error=error):
                 self._metrics.log_errors.labels(error.step).inc()
-                log_event(Event.CLAIM_APPEND_FAILED, level="warning", shard=shard, error=str(error))
+                log_event(Event.CLAIM_LOG_FAILED, shard=shard, error=str(error))
+            case RecordSkipped(shard=shard, offset=offset, reason=reason):
+                log_event(
+                    Event.CLAIM_RECORD_UNREADABLE,
+                    shard=shard,
+                    offset=offset,
+                    reason=type(reason).__name__,
+                )
             case _:
                 log_event(Event.CLAIM_SHARD_REPORT, report=repr(report))
 
--- a/packages/daemon/src/fireflybridge_daemon/_configuration.py
+++ b/packages/daemon/src/fireflybridge_daemon/_configuration.py
@@ -121,7 +121,11 @@
                     self._apply(adopt_keep(self._state, keep))
                 case _:
                     self._metrics.tables_faults.inc()
-                    log_event(Event.TABLES_RECORD_UNREADABLE, level="warning", offset=record.offset)
+                    log_event(
+                        Event.TABLES_RECORD_UNREADABLE,
+                        offset=record.offset,
+                        fault="not a record of the tables in force, from a peer",
+                    )
 
     def retire_idle(self) -> None:
         """Drop the runners of pools that left the tables and have nothing left to do."""
@@ -138,7 +142,9 @@
             if state.last_fault is not None and state.last_fault is not before:
                 self._metrics.tables_faults.inc()
                 log_event(
-                    Event.TABLES_RECORD_UNREADABLE, level="warning", fault=repr(state.last_fault)
+                    Event.TABLES_RECORD_UNREADABLE,
+                    offset=record.offset,
+                    fault=repr(state.last_fault),
                 )
         self._apply(state)
 
@@ -175,4 +181,4 @@
     def _note_failure(self, error: StepError) -> None:
         self.log_reachable = False
         self._metrics.log_errors.labels(error.step).inc()
-        log_event(Event.TABLES_READ_FAILED, level="warning", error=str(error))
+        log_event(Event.TABLES_LOG_FAILED, error=str(error))
--- a/packages/daemon/src/fireflybridge_daemon/_daemon.py
+++ b/packages/daemon/src/fireflybridge_daemon/_daemon.py
@@ -2,6 +2,7 @@
 
 import signal
 import time
+import traceback
 from pathlib import Path
 from typing import Any
 
@@ -137,7 +138,7 @@
 
     async def serve_callers(self, stop: anyio.Event, *, task_status: Any) -> None:
         """Serve the callers' port until ``stop`` is set and open requests have ended."""
-        app = CallersApp(self.submissions, self._count_refusal)
+        app = CallersApp(self.submissions, self._count_refusal, report_failure)
         await serve_app(
             app,
             self.settings.callers_address,
@@ -163,7 +164,7 @@
             group.cancel_scope.cancel()
         cut = self.submissions.cut()
         if cut:
-            log_event(Event.DRAIN_CUT, level="warning", submissions=cut)
+            log_event(Event.DRAIN_CUT, submissions=cut)
 
     def stop_operators(self) -> None:
         """Close the operators' port."""
@@ -260,6 +261,13 @@
     return 0
 
 
+def report_failure(error: Exception) -> None:
+    """Log where an internal error arose; its text may quote a payload and is left out."""
+    frame = traceback.extract_tb(error.__traceback__)[-1]
+    place = f"{Path(frame.filename).name}:{frame.lineno}"
+    log_event(Event.REQUEST_FAILED, error=type(error).__name__, place=place)
+
+
 async def _set_on_signal(signals: Any, event: anyio.Event) -> None:
     await anext(signals)
     event.set()
--- a/packages/daemon/src/fireflybridge_daemon/_main.py
+++ b/packages/daemon/src/fireflybridge_daemon/_main.py
@@ -23,7 +23,7 @@
         case Err(faults):
             configure_logs("json", "info")
             for fault in faults:
-                log_event(Event.CHECK_FAILED, level="error", check=fault.check, fault=str(fault))
+                log_event(Event.CHECK_FAILED, check=fault.check, fault=str(fault))
                 print(fault, file=sys.stderr)
             return EXIT_WRONG_SETTINGS
         case Ok(settings):
--- a/packages/daemon/src/fireflybridge_daemon/_peering.py
+++ b/packages/daemon/src/fireflybridge_daemon/_peering.py
@@ -112,7 +112,7 @@
                 case Ok(listed):
                     self._apply_hosts(listed)
                 case Err(error):
-                    log_event(Event.HOST_LIST_FAILED, level="warning", error=str(error))
+                    log_event(Event.HOST_LIST_FAILED, error=str(error))
             await anyio.sleep(interval_s)
 
     async def follow_time(self) -> None:
@@ -214,7 +214,7 @@
         )
         verdict = self._membership.apply_list(records, self._clock())
         if not isinstance(verdict, Applied):
-            log_event(Event.HOST_LIST_IGNORED, level="warning", verdict=repr(verdict))
+            log_event(Event.HOST_LIST_IGNORED, verdict=repr(verdict))
             return
         wanted = {peer.name: peer.address for peer in self._membership.list_peers()}
         for name in self._connected.keys() - wanted.keys():
@@ -293,13 +293,13 @@
 
     def _drop_peer(self, lost: Lost) -> None:
         self._metrics.peers_lost.inc()
-        log_event(Event.PEER_LOST, level="warning", peer=lost.peer, incarnation=lost.incarnation)
+        log_event(Event.PEER_LOST, peer=lost.peer, incarnation=lost.incarnation)
         if self._handlers is not None:
             self._handlers.mover.drop_peer(lost)
             self._handlers.forwarding.drop_peer(lost)
 
     def _note_stalled(self, stalled: Stalled) -> None:
-        log_event(Event.PEER_STALLED, level="warning", peer=stalled.peer)
+        log_event(Event.PEER_STALLED, peer=stalled.peer)
 
     def _report_fault(self, error: StepError) -> None:
-        log_event(Event.PEER_MESSAGE_REJECTED, level="warning", error=str(error))
+        log_event(Event.PEER_MESSAGE_REJECTED, error=str(error))
--- a/packages/daemon/src/fireflybridge_daemon/_pools.py
+++ b/packages/daemon/src/fireflybridge_daemon/_pools.py
@@ -128,7 +128,7 @@
                 task = await self._wait_for_task(tenure)
                 if task is not None:
                     outcome = await self._exchange(connection, task)
-                    self._health.record(upstream.name, outcome)
+                    self._note_health(upstream.name, outcome)
                     self._settle(task, outcome)
         finally:
             await connection.close()
@@ -165,6 +165,15 @@
         finally:
             self._running -= 1
 
+    def _note_health(self, upstream: str, outcome: Outcome) -> None:
+        if isinstance(outcome, Done) and outcome.status < FIRST_SERVER_ERROR_STATUS:
+            self._health.record(upstream, outcome)
+            return
+        ejected = self._health.count_ejected()
+        self._health.record(upstream, outcome)
+        if self._health.count_ejected() > ejected:
+            log_event(Event.UPSTREAM_EJECTED, pool=self.pool.name, upstream=upstream)
+
     def _settle(self, task: Task, outcome: Outcome) -> None:
         match outcome:
             case NotRun(cause=Cause.CONNECT_FAILED | Cause.GUARD_REFUSED):
--- a/packages/front/src/fireflybridge_front/_callers.py
+++ b/packages/front/src/fireflybridge_front/_callers.py
@@ -23,7 +23,7 @@
     Refused,
     judge_ran,
 )
-from fireflybridge_front._problems import refuse_malformed, render_problem
+from fireflybridge_front._problems import refuse_malformed, render_internal_error, render_problem
 from fireflybridge_front._requests import MAX_BODY_BYTES, Head, read_head, read_job, read_single
 from fireflybridge_front._service import Dispatcher, IssuedPrefix
 
@@ -38,15 +38,25 @@
 class CallersApp:
     """Serve the callers' port: one coroutine for each request, read top to bottom."""
 
-    def __init__(self, dispatcher: Dispatcher, count_refusal: Callable[[Problem], None]) -> None:
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        count_refusal: Callable[[Problem], None],
+        report_failure: Callable[[Exception], None],
+    ) -> None:
         self._dispatcher = dispatcher
         self._count_refusal = count_refusal
+        self._report_failure = report_failure
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Answer one ASGI request."""
         if scope["type"] != "http":
             return
-        status, headers, body = await self._respond(scope, receive)
+        try:
+            status, headers, body = await self._respond(scope, receive)
+        except Exception as error:
+            self._report_failure(error)
+            status, headers, body = render_internal_error()
         headers.append((b"content-length", b"%d" % len(body)))
         await send({"type": "http.response.start", "status": status, "headers": headers})
         await send({"type": "http.response.body", "body": body})
--- a/packages/front/src/fireflybridge_front/_problems.py
+++ b/packages/front/src/fireflybridge_front/_problems.py
@@ -9,6 +9,9 @@
 
 PROBLEM_TYPE_BASE = "urn:fireflybridge:problem:"
 PROBLEM_CONTENT_TYPE = b"application/problem+json"
+# Not a refusal: nothing is known about what the request has started.
+INTERNAL_ERROR = "internal"
+INTERNAL_ERROR_STATUS = 500
 
 STATUSES = {
     Problem.BODY_TOO_LARGE: 413,
@@ -55,6 +58,20 @@
     return status, headers, msgspec.json.encode(body)
 
 
+def render_internal_error() -> tuple[int, list[tuple[bytes, bytes]], bytes]:
+    """Return the response to a request that met a fault of the daemon itself."""
+    body = {
+        "type": PROBLEM_TYPE_BASE + INTERNAL_ERROR,
+        "title": "internal error",
+        "status": INTERNAL_ERROR_STATUS,
+        "detail": "the daemon met a fault of its own, which its log names",
+        "ran": str(Ran.MAY_HAVE_RUN),
+        "request_ran": str(Ran.MAY_HAVE_RUN),
+    }
+    headers = [(b"content-type", PROBLEM_CONTENT_TYPE)]
+    return INTERNAL_ERROR_STATUS, headers, msgspec.json.encode(body)
+
+
 def refuse_malformed(detail: str) -> Refused:
     """Return the refusal of a request that can't be read."""
     return Refused(Problem.MALFORMED, Ran.NOT_RUN, detail)
--- a/packages/telemetry/src/fireflybridge_telemetry/_events.py
+++ b/packages/telemetry/src/fireflybridge_telemetry/_events.py
@@ -2,47 +2,71 @@
 
 import logging
 import sys
-from enum import Enum
+from dataclasses import dataclass
+from enum import Enum, StrEnum
 from typing import Any
 
 import structlog
 
 
+class Level(StrEnum):
+    """Name how urgent an event is, as the log writes it."""
+
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
+@dataclass(frozen=True, slots=True)
+class EventEntry:
+    """Describe an event: its number, which never changes, level, message and field names."""
+
+    number: int
+    level: Level
+    message: str
+    fields: tuple[str, ...] = ()
+
+
 class Event(Enum):
-    """Catalogue of log events: number and message; described in docs/reference/events.md."""
-
-    DAEMON_STARTED = (1001, "daemon started")
-    DAEMON_STOPPED = (1002, "daemon stopped")
-    DRAIN_STARTED = (1003, "drain started")
-    DRAIN_CUT = (1004, "drain ended with requests unanswered by upstreams")
-    CHECK_FAILED = (1005, "start-up check failed")
-    TABLES_IN_FORCE = (2001, "tables in force")
-    TABLES_RECORD_UNREADABLE = (2002, "tables record unreadable")
-    TABLES_READ_FAILED = (2003, "tables stream read failed")
-    TABLES_KEPT = (2004, "tables re-recorded before retention")
-    HOST_LIST_FAILED = (3001, "host list read failed")
-    HOST_LIST_IGNORED = (3002, "host list ignored")
-    PEER_FOUND = (3003, "peer found")
-    PEER_LOST = (3004, "peer lost")
-    PEER_MESSAGE_REJECTED = (3005, "peer message rejected")
-    PEER_STALLED = (3006, "peer does not acknowledge messages")
-    UPSTREAM_ACQUIRED = (4001, "upstream acquired")
-    UPSTREAM_RELEASED = (4002, "upstream released")
-    UPSTREAM_EJECTED = (4003, "upstream ejected")
-    CLAIM_APPEND_FAILED = (5001, "claim append failed")
-    CLAIM_RECORD_UNREADABLE = (5002, "claim record unreadable")
-    CLAIM_SHARD_REPORT = (5003, "claim shard report")
-    REQUEST_FAILED = (6001, "request failed on an internal error")
+    """Catalogue of log events; docs/reference/events.md says what an operator does for each."""
 
-    @property
-    def number(self) -> int:
-        """Return the event's number, which never changes."""
-        return int(self.value[0])
+    DAEMON_STARTED = EventEntry(1001, Level.INFO, "daemon started", ("callers",))
+    DAEMON_STOPPED = EventEntry(1002, Level.INFO, "daemon stopped")
+    DRAIN_STARTED = EventEntry(1003, Level.INFO, "drain started", ("running",))
+    DRAIN_CUT = EventEntry(
+        1004, Level.WARNING, "drain ended with requests unanswered by upstreams", ("submissions",)
+    )
+    CHECK_FAILED = EventEntry(1005, Level.ERROR, "start-up check failed", ("check", "fault"))
+    TABLES_IN_FORCE = EventEntry(2001, Level.INFO, "tables in force", ("revision", "offset"))
+    TABLES_RECORD_UNREADABLE = EventEntry(
+        2002, Level.WARNING, "tables record unreadable", ("offset", "fault")
+    )
+    TABLES_LOG_FAILED = EventEntry(2003, Level.WARNING, "tables log call failed", ("error",))
+    TABLES_KEPT = EventEntry(
+        2004, Level.INFO, "tables re-recorded before retention", ("offset", "revision")
+    )
+    HOST_LIST_FAILED = EventEntry(3001, Level.WARNING, "host list read failed", ("error",))
+    HOST_LIST_IGNORED = EventEntry(3002, Level.WARNING, "host list ignored", ("verdict",))
+    PEER_FOUND = EventEntry(3003, Level.INFO, "peer found", ("peer", "incarnation"))
+    PEER_LOST = EventEntry(3004, Level.WARNING, "peer lost", ("peer", "incarnation"))
+    PEER_MESSAGE_REJECTED = EventEntry(3005, Level.WARNING, "peer message rejected", ("error",))
+    PEER_STALLED = EventEntry(3006, Level.WARNING, "peer does not acknowledge messages", ("peer",))
+    UPSTREAM_ACQUIRED = EventEntry(4001, Level.INFO, "upstream acquired", ("pool", "upstream"))
+    UPSTREAM_RELEASED = EventEntry(4002, Level.INFO, "upstream released", ("pool", "upstream"))
+    UPSTREAM_EJECTED = EventEntry(4003, Level.WARNING, "upstream ejected", ("pool", "upstream"))
+    CLAIM_LOG_FAILED = EventEntry(5001, Level.WARNING, "claim log call failed", ("shard", "error"))
+    CLAIM_RECORD_UNREADABLE = EventEntry(
+        5002, Level.WARNING, "claim record unreadable", ("shard", "offset", "reason")
+    )
+    CLAIM_SHARD_REPORT = EventEntry(5003, Level.INFO, "claim shard report", ("report",))
+    REQUEST_FAILED = EventEntry(
+        6001, Level.ERROR, "request failed on an internal error", ("error", "place")
+    )
 
     @property
-    def message(self) -> str:
-        """Return the event's text."""
-        return str(self.value[1])
+    def entry(self) -> EventEntry:
+        """Return the event's description."""
+        return self.value
 
 
 def configure_logs(form: str, level: str, **bound: str) -> None:
@@ -68,6 +92,8 @@
     structlog.contextvars.bind_contextvars(**bound)
 
 
-def log_event(event: Event, *, level: str = "info", **fields: Any) -> None:
-    """Write one event with its number and fields; payloads and keys never go into fields."""
-    getattr(structlog.get_logger(), level)(event.message, event_id=event.number, **fields)
+def log_event(event: Event, **fields: Any) -> None:
+    """Write one event with the fields of its entry; payloads and keys never go into fields."""
+    entry = event.entry
+    write = getattr(structlog.get_logger(), entry.level)
+    write(entry.message, event_id=entry.number, **fields)
