--- a/standins/src/fireflybridge_standins/policy_probe/_baselines.py
+++ b/standins/src/fireflybridge_standins/policy_probe/_baselines.py
@@ -54,7 +54,6 @@
 
     def __init__(self) -> None:
         self._waiting: deque[tuple[str, anyio.Event]] = deque()
-
         self._given: dict[anyio.Event, Task] = {}
         self._queue: deque[Task] = deque()
 
--- a/standins/src/fireflybridge_standins/policy_probe/_report.py
+++ b/standins/src/fireflybridge_standins/policy_probe/_report.py
@@ -1,7 +1,8 @@
 """Tables of the measurement."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
+from functools import partial
 
 import anyio
 
@@ -17,17 +18,24 @@
 from fireflybridge_standins.policy_probe._ideal import admit_clairvoyantly, find_ideal_response
 from fireflybridge_standins.policy_probe._run import Result, run_policy
 from fireflybridge_standins.policy_probe._workload import (
+    BATCH,
+    FLOOD_TEAM,
     SINGLE,
     Arrival,
+    Kind,
+    add_flood,
     draw_arrivals,
+    find_residual,
     list_speeds,
     make_pool,
 )
 
 WARM_UP_S = 10.0  # arrivals before this teach the estimates and are not counted
 
+OURS = "ours"
+
 POLICIES: dict[str, Callable[[int], Policy]] = {
-    "ours": lambda seed: Ours(PoolQueue(make_pool(), anyio.current_time)),
+    OURS: lambda seed: Ours(PoolQueue(make_pool(), anyio.current_time)),
     "fifo": lambda seed: Fifo(),
     "random": RandomOrder,
     "round robin": lambda seed: RoundRobin(),
@@ -119,28 +127,97 @@
 )
 
 
-def print_report(seeds: Sequence[int], loads: Sequence[float], length_s: float, only: Sequence[str] | None) -> None:
-    """Run every policy at every load and print one table for each load."""
+def run_seeds(name: str, runs: Mapping[int, Sequence[Arrival]]) -> list[Result]:
+    """Run a policy over the arrivals of each seed and return the results after the warm-up."""
+    return [
+        result
+        for seed, run in runs.items()
+        for result in run_policy(partial(POLICIES[name], seed), run)
+        if result.arrival.at_s >= WARM_UP_S
+    ]
+
+
+def print_load(seeds: Sequence[int], load: float, length_s: float, only: Sequence[str]) -> None:
+    """Run every policy at one load and print its table."""
+    runs = {seed: draw_arrivals(seed, load, length_s) for seed in seeds}
+    admitted = [admit_clairvoyantly(run) for run in runs.values()]
+    ideal_jobs = [one for jobs in admitted for one in jobs if one.at_s >= WARM_UP_S]
+    offered = [one for run in runs.values() for one in run if one.at_s >= WARM_UP_S]
+    ideal = share(ideal_jobs, offered)
+    print(
+        f"\n## Load {load}\n\n{len(offered)} jobs. Clairvoyant admission answers"
+        f" {ideal.jobs:.3f} of the jobs, {ideal.tasks:.3f} of the tasks and {ideal.work:.3f} of the"
+        " work.\n"
+    )
+    print("| " + " | ".join(HEADER) + " |")
+    print("|" + " --- |" * len(HEADER))
+    for name in only:
+        results = run_seeds(name, runs)
+        print(format_row(name, results, ideal), flush=True)
+        if name == OURS:
+            summary = format_summary(results, len(seeds) * (length_s - WARM_UP_S))
+    if OURS in only:
+        print("\n" + summary)
+
+
+def format_summary(results: Sequence[Result], length_s: float) -> str:
+    """Return goodput and the response of short jobs of the project's own policy."""
+    served = [one.arrival for one in results if one.served]
+    lines = [
+        f"Ours answers {sum(len(one.sizes_s) for one in served) / length_s:.0f} tasks/s and"
+        f" {sum(one.work_s for one in served) / length_s:.1f} s of work per s within the window.",
+    ]
+    for kind in (SINGLE, BATCH):
+        mine = [one for one in results if one.arrival.kind is kind and one.response_s is not None]
+        response = find_quantile([one.response_s or 0.0 for one in mine], 0.99)
+        ideal = find_quantile([find_ideal_response(one.arrival) for one in mine], 0.99)
+        bound = 1.5 * ideal + find_residual()
+        lines.append(
+            f"p99 of {kind.route}: {response:.2f} s; ideal {ideal:.2f} s; 1.5 of the ideal and"
+            f" one residual slot time {bound:.2f} s."
+        )
+    return "\n".join(lines)
+
+
+def print_flood(seeds: Sequence[int], length_s: float) -> None:
+    """Print how much a flood by one team moves the short response of the other teams."""
+    print("\n## Flood by one team\n")
+    print("| policy | p99 of others, calm s | p99 of others, flood s | ratio | ratio of single |")
+    print("| --- | --- | --- | --- | --- |")
+    calm = {seed: draw_arrivals(seed, 0.5, length_s) for seed in seeds}
+    flooded = {seed: add_flood(seed, run, length_s) for seed, run in calm.items()}
+    for name in POLICIES:
+        results = run_seeds(name, calm), run_seeds(name, flooded)
+        (calm_s, flood_s), (calm_single_s, flood_single_s) = (
+            [find_response(run, kinds) for run in results] for kinds in ((SINGLE, BATCH), (SINGLE,))
+        )
+        print(
+            f"| {name} | {calm_s:.3f} | {flood_s:.3f} | {flood_s / calm_s:.2f}"
+            f" | {flood_single_s / calm_single_s:.2f} |",
+            flush=True,
+        )
+
+
+def find_response(results: Sequence[Result], kinds: Sequence[Kind]) -> float:
+    """Return the p99 of response of the jobs of some kinds that do not belong to the flood.
+
+    A job without a whole answer counts with its window, so that dropped jobs do not look fast.
+    """
+    return find_quantile(
+        [
+            one.arrival.kind.window_s if one.response_s is None else one.response_s
+            for one in results
+            if one.arrival.kind in kinds and one.arrival.team != FLOOD_TEAM
+        ],
+        0.99,
+    )
+
+
+def print_report(
+    seeds: Sequence[int], loads: Sequence[float], length_s: float, only: Sequence[str] | None
+) -> None:
+    """Run every policy at every load, then the flood, and print the tables."""
     for load in loads:
-        runs = {seed: draw_arrivals(seed, load, length_s) for seed in seeds}
-        counted = [one for run in runs.values() for one in run if one.at_s >= WARM_UP_S]
-        ideal_jobs = [
-            one
-            for run in runs.values()
-            for one in admit_clairvoyantly(run)
-            if one.at_s >= WARM_UP_S
-        ]
-        ideal = share(ideal_jobs, counted)
-        print(f"\nLoad {load}: {len(counted)} jobs; clairvoyant: {ideal}\n")
-        print("| " + " | ".join(HEADER) + " |")
-        print("|" + " --- |" * len(HEADER))
-        for name, make in POLICIES.items():
-            if only and name not in only:
-                continue
-            results = [
-                result
-                for seed, run in runs.items()
-                for result in run_policy(lambda make=make, seed=seed: make(seed), run)  # type: ignore[misc]
-                if result.arrival.at_s >= WARM_UP_S
-            ]
-            print(format_row(name, results, ideal), flush=True)
+        print_load(seeds, load, length_s, only or tuple(POLICIES))
+    if not only:
+        print_flood(seeds, length_s)
--- a/standins/src/fireflybridge_standins/policy_probe/_workload.py
+++ b/standins/src/fireflybridge_standins/policy_probe/_workload.py
@@ -2,8 +2,8 @@
 
 import math
 import random
-from collections.abc import Iterator
-from dataclasses import dataclass
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass, replace
 
 from fireflybridge_tables import Pool, Upstream
 
@@ -17,6 +17,8 @@
 STRAGGLER_SHARE = 0.005
 STRAGGLER_RATIO = 20.0
 TEAMS = 20
+FLOOD_TEAM = "team-flood"
+FLOOD_LOAD = 1.5
 PEAK = 1.6  # of the mean rate; the rest of the time it is 0.4
 PHASE_S = 2.0  # mean length of a peak, and of the time between two
 
@@ -142,3 +144,17 @@
         Arrival(f"job-{i}", one.at_s, one.kind, one.team, one.sizes_s, one.peak)
         for i, one in enumerate(arrivals)
     ]
+
+
+def add_flood(seed: int, arrivals: Sequence[Arrival], length_s: float) -> list[Arrival]:
+    """Return the arrivals with those of one team that offers one and a half times the capacity."""
+    flood = draw_arrivals(seed + 1000, FLOOD_LOAD, length_s)
+    renamed = (replace(one, key=f"flood-{one.key}", team=FLOOD_TEAM) for one in flood)
+    return sorted([*arrivals, *renamed], key=lambda arrival: arrival.at_s)
+
+
+def find_residual() -> float:
+    """Return the mean time, in seconds, until a slot that runs a short task at speed 1 is free."""
+    rng = random.Random(1)
+    sizes = [draw_short(rng) for _ in range(20000)]
+    return sum(size * size for size in sizes) / (2 * sum(sizes))
