--- a/standins/src/fireflybridge_standins/control.py
+++ b/standins/src/fireflybridge_standins/control.py
@@ -51,5 +51,6 @@
     task_status.started("{}:{}".format(*listener.getsockname()))
     # hypercorn takes the descriptor over and closes it.
     config.bind = [f"fd://{listener.detach()}"]
-    with suppress(asyncio.CancelledError):
+    # hypercorn raises either when it is cancelled with connections open.
+    with suppress(asyncio.CancelledError, asyncio.InvalidStateError):
         await serve(app, config, shutdown_trigger=anyio.sleep_forever)
--- a/standins/src/fireflybridge_standins/platform/_control.py
+++ b/standins/src/fireflybridge_standins/platform/_control.py
@@ -25,6 +25,9 @@
 
 def _dispatch(platform: Platform, request: Request) -> Answer:
     match request.method, request.path:
+        case "PUT", "/control/hosts" if request.viewer:
+            platform.views[request.viewer] = msgspec.json.decode(request.body, type=HostsBody)
+            return Answer(200, b"{}")
         case "PUT", "/control/hosts":
             platform.hosts = msgspec.json.decode(request.body, type=HostsBody)
             return Answer(200, b"{}")
--- a/standins/src/fireflybridge_standins/platform/_server.py
+++ b/standins/src/fireflybridge_standins/platform/_server.py
@@ -22,8 +22,8 @@
     NoAnswer,
     Platform,
     Reply,
-    Request,
     handle_request,
+    make_request,
 )
 
 KEEP_ALIVE_S = 75.0
@@ -55,7 +55,7 @@
     if body is None:
         return
     query = scope["query_string"].decode("ascii", "replace")
-    request = Request(scope["method"], scope["path"], query, body)
+    request = make_request(scope["method"], scope["path"], query, body)
     reply: Reply
     if request.path.startswith("/control/"):
         reply = handle_control(platform, request)
--- a/standins/src/fireflybridge_standins/platform/_service.py
+++ b/standins/src/fireflybridge_standins/platform/_service.py
@@ -23,6 +23,7 @@
 MAX_RECORD_BYTES = 1 << 20
 MAX_READ_RECORDS = 10_000
 MAX_WAIT_S = 60.0
+VIEW_PATH = re.compile(r"/view/([A-Za-z0-9_.-]{1,100})(/.*)")
 RECORDS_PATH = re.compile(r"/v1/streams/([A-Za-z0-9_.-]{1,100})/records")
 
 
@@ -50,20 +51,34 @@
     path: str
     query: str
     body: bytes
+    viewer: str = ""
 
 
 @dataclass(slots=True)
 class Platform:
-    """Own the state of the stand-in."""
+    """Own the state of the stand-in.
+
+    A client whose base URL ends in ``/view/NAME`` reads the host list in ``views``, if it has one
+    of its own. Tests give each daemon other addresses of its peers that way.
+    """
 
     log: LogStore
     pace: AppendPace
     latency_s: float
     faults: FaultSwitch
     hosts: HostsBody = field(default_factory=HostsBody)
+    views: dict[str, HostsBody] = field(default_factory=dict)
     host_reads: int = 0
 
 
+def make_request(method: str, path: str, query: str, body: bytes) -> Request:
+    """Return the request with the name of its viewer taken out of the path."""
+    viewed = VIEW_PATH.fullmatch(path)
+    if viewed is None:
+        return Request(method, path, query, body)
+    return Request(method, viewed[2], query, body, viewed[1])
+
+
 def make_problem(status: int, detail: str) -> Answer:
     """Return an error answer for a request that had no effect."""
     return Answer(status, msgspec.json.encode({"error": detail, "appended": False}))
@@ -110,7 +125,8 @@
             return await _read(platform, stream, request.query)
         case Operation.HOSTS:
             platform.host_reads += 1
-            return Answer(200, msgspec.json.encode(platform.hosts))
+            hosts = platform.views.get(request.viewer, platform.hosts)
+            return Answer(200, msgspec.json.encode(hosts))
 
 
 async def _append(platform: Platform, stream: str, payload: bytes) -> Answer:
