--- /dev/null
+++ b/standins/src/fireflybridge_standins/capacity/path.py
@@ -0,0 +1,160 @@
+"""Measure the CPU that one daemon spends on a start, beside that of a bare stream.
+
+Each round measures every daemon given by ``--tree``, a directory with a ``packages`` folder, one
+after the other, so that two versions can be compared in one run.
+"""
+
+import argparse
+import json
+import statistics
+import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import asdict, dataclass
+from pathlib import Path
+
+import anyio
+
+from fireflybridge_standins.capacity._deployment import ROUTE, Deployment, Scale
+from fireflybridge_standins.capacity._echo import measure_echo, serve_echo
+from fireflybridge_standins.capacity._programs import Program, Programs
+from fireflybridge_standins.load import Plan, run_load
+
+ROOT = Path(__file__).parents[4]
+SIZES = (300, 30, 1, 0)
+CONNECTIONS = 6
+WORKERS = 24
+WORKER_PROCESSES = 2
+ECHO_CONNECTIONS = 192
+US_PER_S = 1e6
+LOOP = {"use_uvloop": True}
+
+
+@dataclass(frozen=True, slots=True)
+class PathCost:
+    """Hold the cost of starts in jobs of ``size`` tasks; 0 stands for single requests.
+
+    ``busy`` is the daemon's CPU over the elapsed time, ``load_busy`` the generator's and
+    ``worker_busy`` that of the busiest worker process; the daemon is the limit where ``busy`` is
+    near 1 and the others are below.
+    """
+
+    tree: str
+    size: int
+    cpu_us_per_start: float
+    echo_us: float
+    starts_per_s: float
+    busy: float
+    load_busy: float
+    worker_busy: float
+    p50_ms: float
+    refused: int
+
+
+def main() -> int:
+    """Run the rounds, print a line for each measurement and the medians of each tree."""
+    arguments = parse_arguments()
+    if arguments.echo_server:
+        anyio.run(serve_echo, backend_options=LOOP)
+        return 0
+    costs = [*measure_rounds(arguments.tree, arguments.size, arguments.rounds, arguments.tasks)]
+    for tree in arguments.tree:
+        for size in arguments.size:
+            print(
+                json.dumps(summarize(tree, [c for c in costs if (c.tree, c.size) == (tree, size)]))
+            )
+    return 0
+
+
+def parse_arguments() -> argparse.Namespace:
+    """Read the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--tree", action="append", help="checkout to measure; may be repeated")
+    parser.add_argument("--size", action="append", type=int, help="tasks of a job; 0: single")
+    parser.add_argument("--rounds", type=int, default=3)
+    parser.add_argument("--tasks", type=int, default=9000, help="tasks of one measurement")
+    parser.add_argument("--echo-server", action="store_true", help="only serve the bare stream")
+    arguments = parser.parse_args()
+    arguments.tree = arguments.tree or [str(ROOT)]
+    arguments.size = arguments.size or list(SIZES)
+    return arguments
+
+
+def measure_rounds(
+    trees: list[str], sizes: list[int], rounds: int, tasks: int
+) -> Iterator[PathCost]:
+    """Yield the costs of each tree and size, interleaved."""
+    with Programs() as programs:
+        echo = programs.start("fireflybridge_standins.capacity.path", "--echo-server")
+        deployments = {tree: _deploy(programs, tree) for tree in trees}
+        for tree in trees:
+            _measure(deployments[tree], echo, tree, 300, tasks // 3)
+        for _ in range(rounds):
+            for size in sizes:
+                for tree in trees:
+                    count = tasks if size > 1 else tasks // 5
+                    cost = _measure(deployments[tree], echo, tree, size, count)
+                    print(json.dumps(asdict(cost)), file=sys.stderr, flush=True)
+                    yield cost
+
+
+def summarize(tree: str, costs: list[PathCost]) -> dict[str, object]:
+    """Return the medians of the rounds, with the ratio to the bare stream and the spread."""
+    cpu_us = [cost.cpu_us_per_start for cost in costs]
+    return {
+        "tree": tree,
+        "size": costs[0].size,
+        "cpu_us_per_start": round(statistics.median(cpu_us), 1),
+        "spread_us": round(max(cpu_us) - min(cpu_us), 1),
+        "echo_us": round(statistics.median(cost.echo_us for cost in costs), 1),
+        "ratio_to_echo": round(
+            statistics.median(cost.cpu_us_per_start / cost.echo_us for cost in costs), 2
+        ),
+        "starts_per_s": round(statistics.median(cost.starts_per_s for cost in costs)),
+        "starts_per_core_s": round(US_PER_S / statistics.median(cpu_us)),
+        "busy": round(statistics.median(cost.busy for cost in costs), 2),
+        "load_busy": round(statistics.median(cost.load_busy for cost in costs), 2),
+        "worker_busy": round(statistics.median(cost.worker_busy for cost in costs), 2),
+        "refused": sum(cost.refused for cost in costs),
+    }
+
+
+def _deploy(programs: Programs, tree: str) -> Deployment:
+    packages = sorted(Path(tree, "packages").glob("*/src"))
+    environment = {"PYTHONPATH": ":".join(map(str, packages))}
+    scale = Scale(workers=WORKERS, worker_processes=WORKER_PROCESSES)
+    return Deployment(programs, scale, (environment,))
+
+
+@contextmanager
+def _stop_clock(programs: list[Program]) -> Iterator[list[float]]:
+    """Fill the list with the CPU seconds that each program used inside the block."""
+    before = [program.read_cpu_s() for program in programs]
+    used: list[float] = []
+    yield used
+    used.extend(p.read_cpu_s() - was for p, was in zip(programs, before, strict=True))
+
+
+def _measure(deployment: Deployment, echo: Program, tree: str, size: int, tasks: int) -> PathCost:
+    echo_us = anyio.run(measure_echo, echo.address, ECHO_CONNECTIONS, 10_000, backend_options=LOOP)
+    daemon = deployment.daemons[0]
+    connections = CONNECTIONS if size > 1 else 4 * CONNECTIONS
+    plan = Plan((daemon.address,), ROUTE, size, tasks // max(size, 1), connections, 30.0, "x" * 100)
+    with _stop_clock([daemon, *deployment.workers]) as used:
+        report = anyio.run(run_load, plan, backend_options=LOOP)
+    return PathCost(
+        tree=tree,
+        size=size,
+        cpu_us_per_start=used[0] / report.tasks_done * US_PER_S,
+        echo_us=echo_us,
+        starts_per_s=report.tasks_done / report.elapsed_s,
+        busy=used[0] / report.elapsed_s,
+        load_busy=report.cpu_s / report.elapsed_s,
+        worker_busy=max(used[1:]) / report.elapsed_s,
+        p50_ms=report.p50_ms,
+        refused=report.submissions - report.answers.get("complete", 0),
+    )
+
+
+if __name__ == "__main__":
+    sys.exit(main())
