--- a/packages/daemon/src/fireflybridge_daemon/_checks.py
+++ b/packages/daemon/src/fireflybridge_daemon/_checks.py
@@ -94,15 +94,20 @@
         if (cure := find_cure())
     ]
     return faults + [
-        SettingFault("FB111", field.name, str(value), "give a positive number")
+        SettingFault("FB111", field.name, str(value), cure)
         for field in fields(Settings)
         if isinstance(value := getattr(settings, field.name), int | float)
         and not isinstance(value, bool)
-        and field.name not in ("trace_ratio", "log_retention_s", "drain_delay_s")
-        and not 0 < value < float("inf")
+        and field.name not in ("trace_ratio", "log_retention_s")
+        and (cure := _check_amount(value, may_be_zero=field.name == "drain_delay_s"))
     ]
 
 
+def _check_amount(value: float, *, may_be_zero: bool) -> str:
+    is_usable = 0 < value < float("inf") or (may_be_zero and value == 0)
+    return "" if is_usable else "give a positive number" + " or 0" * may_be_zero
+
+
 def _check_url(url: str) -> str:
     try:
         parts = urlsplit(url)
