--- a/features/support/deployment.py
+++ b/features/support/deployment.py
@@ -13,7 +13,6 @@
 from support.processes import Processes, Program, wait_until
 from support.proxy import Proxy, start_proxy
 
-DESK = "desk"
 ROUTES = """
 [[routes]]
 name = "booking"
@@ -48,6 +47,7 @@
     speed: str = "1.0"
     daemon_arguments: tuple[str, ...] = ()
     routes: str = ROUTES
+    pool: str = "desk"
 
 
 @dataclass(slots=True)
@@ -124,7 +124,7 @@
             f'failure_domain = "{self._find_domain(index)}"\n'
             for index, (name, address) in enumerate(self.worker_addresses.items())
         ]
-        return f'[[pools]]\nname = "{DESK}"\nguards = true\n' + "".join(rows)
+        return f'[[pools]]\nname = "{self.plan.pool}"\nguards = true\n' + "".join(rows)
 
     def publish(self, routes: str, pools: str) -> str:
         """Publish tables by the command line and return the revision."""
--- a/packages/daemon/src/fireflybridge_daemon/_daemon.py
+++ b/packages/daemon/src/fireflybridge_daemon/_daemon.py
@@ -229,34 +229,18 @@
 
     ``announce`` is called with the bound addresses by name once the daemon listens.
     """
-    async with (
-        HttpLog(settings.platform_url) as log,
-        HttpHostList(settings.platform_url) as hosts,
-        anyio.create_task_group() as group,
-    ):
-        daemon = Daemon(settings, log, group)
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+    # A second signal may come until the process ends, so the receiver is the outermost scope.
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async with (
+            HttpLog(settings.platform_url) as log,
+            HttpHostList(settings.platform_url) as hosts,
+            anyio.create_task_group() as group,
+        ):
+            daemon = Daemon(settings, log, group)
             await daemon.start(hosts)
             async with anyio.create_task_group() as front:
-                stop, hurry = anyio.Event(), anyio.Event()
-                callers = await front.start(daemon.serve_callers, stop)
-                announce(
-                    {
-                        "callers": callers,
-                        "operators": daemon.operators_address,
-                        "peers": daemon.peer_address,
-                        "incarnation": daemon.incarnation,
-                    }
-                )
-                log_event(Event.DAEMON_STARTED, callers=callers)
-                await anext(signals)
-                front.start_soon(_set_on_signal, signals, hurry)
-                await daemon.drain(hurry)
-                stop.set()
-                await daemon.callers_closed.wait()
-                daemon.stop_operators()
-                front.cancel_scope.cancel()
-        group.cancel_scope.cancel()
+                await _serve_until_signal(daemon, front, signals, announce)
+            group.cancel_scope.cancel()
     log_event(Event.DAEMON_STOPPED)
     return 0
 
@@ -268,6 +252,30 @@
     log_event(Event.REQUEST_FAILED, error=type(error).__name__, place=place)
 
 
+async def _serve_until_signal(
+    daemon: Daemon, front: TaskGroup, signals: Any, announce: Any
+) -> None:
+    """Serve callers until the first signal, then drain; a second signal ends the drain."""
+    stop, hurry = anyio.Event(), anyio.Event()
+    callers = await front.start(daemon.serve_callers, stop)
+    announce(
+        {
+            "callers": callers,
+            "operators": daemon.operators_address,
+            "peers": daemon.peer_address,
+            "incarnation": daemon.incarnation,
+        }
+    )
+    log_event(Event.DAEMON_STARTED, callers=callers)
+    await anext(signals)
+    front.start_soon(_set_on_signal, signals, hurry)
+    await daemon.drain(hurry)
+    stop.set()
+    await daemon.callers_closed.wait()
+    daemon.stop_operators()
+    front.cancel_scope.cancel()
+
+
 async def _set_on_signal(signals: Any, event: anyio.Event) -> None:
     await anext(signals)
     event.set()
