Log silent peers, and check settings and the privacy of logs

A daemon that stopped to be heard was named in no event: peer lost is written only when a session ends by a restart or by the host list. Two features start daemons with every kind of wrong setting, and search the logs of a deployment for recognizable payloads, keys and the peer key.

--- /dev/null
+++ b/features/steps/telemetry.py
@@ -0,0 +1,201 @@
+"""Steps for settings and logs of running daemons."""
+
+import json
+import os
+import re
+import tempfile
+from pathlib import Path
+
+from behave import given, then, when
+from behave.runner import Context
+from support.deployment import Deployment, Plan
+from support.processes import wait_until
+
+SETTINGS_PAGE = Path(__file__).parents[2] / "docs" / "reference" / "settings.md"
+PEER_KEY = "pk-5d1f0c7e9b3a4826"
+PAYLOAD = "payload-c0ffee"
+KEY = "caller-key-c0ffee"
+REQUIRED = ("--name=d1", "--failure-domain=fd1", "--platform-url=http://127.0.0.1:9")
+ANY_PORTS = (
+    "--callers-address=127.0.0.1:0",
+    "--operators-address=127.0.0.1:0",
+    "--peer-address=127.0.0.1:0",
+)
+
+# Arguments, variables, and the faults expected as pairs of check and setting.
+WRONG_SETTINGS: tuple[tuple[tuple[str, ...], dict[str, str], tuple[tuple[str, str], ...]], ...] = (
+    (
+        (
+            "--platform-url=ftp://10.0.0.5",
+            "--callers-address=balancer:8080",
+            "--operators-address=127.0.0.1:65536",
+            "--peer-address=127.0.0.1",
+            "--log-form=xml",
+            "--log-level=loud",
+            "--trace-ratio=1.5",
+            "--retention-s=600",
+            "--log-retention-s=600",
+            "--trace-url=collector",
+            "--claim-timeout-ms=0",
+            "--drain-delay-s=-1",
+            "--drain-timeout-s=soon",
+        ),
+        {"FIREFLYBRIDGE_MAX_KEPT_MB": "much"},
+        (
+            ("FB101", "name"),
+            ("FB101", "failure-domain"),
+            ("FB102", "drain-timeout-s"),
+            ("FB102", "max-kept-mb"),
+            ("FB103", "platform-url"),
+            ("FB104", "callers-address"),
+            ("FB104", "operators-address"),
+            ("FB104", "peer-address"),
+            ("FB105", "peer-key-file"),
+            ("FB107", "log-form"),
+            ("FB107", "log-level"),
+            ("FB108", "trace-ratio"),
+            ("FB109", "log-retention-s"),
+            ("FB110", "trace-url"),
+            ("FB111", "claim-timeout-ms"),
+            ("FB111", "drain-delay-s"),
+        ),
+    ),
+    (
+        (*REQUIRED, *ANY_PORTS[:2], "--insecure-peers", "--peer-address=0.0.0.0:0"),
+        {},
+        (("FB106", "insecure-peers"),),
+    ),
+    (
+        (*REQUIRED, *ANY_PORTS, "--peer-key-file=/nonexistent/key"),
+        {"FIREFLYBRIDGE_INSECURE_PEERS": "maybe"},
+        (("FB102", "insecure-peers"), ("FB105", "peer-key-file")),
+    ),
+    (
+        (*REQUIRED, *ANY_PORTS, f"--peer-key-file={os.devnull}", "--prefix-lifetime-s=nan"),
+        {},
+        (("FB102", "prefix-lifetime-s"), ("FB105", "peer-key-file")),
+    ),
+    (
+        (*REQUIRED, *ANY_PORTS, "--insecure-peers", "--drain-timeout-s=nan", "--retention-s=-600"),
+        {"FIREFLYBRIDGE_TRACE_RATIO": "nan"},
+        (("FB108", "trace-ratio"), ("FB111", "drain-timeout-s"), ("FB111", "retention-s")),
+    ),
+)
+
+
+@when("telemetry daemons are started with wrong settings of every kind")
+def start_wrong(context: Context) -> None:
+    context.wrong = [
+        (
+            context.processes.spawn("fireflybridge_daemon", *arguments, environment=variables),
+            expected,
+        )
+        for arguments, variables, expected in WRONG_SETTINGS
+    ]
+
+
+@then("each telemetry daemon exits 2, names every fault and prints no ready line")
+def check_wrong(context: Context) -> None:
+    for program, expected in context.wrong:
+        assert program.wait_exit() == 2, program.read_stderr()
+        assert program.read_stdout() == "", program.read_stdout()
+        lines = program.read_stderr().splitlines()
+        events = [json.loads(line) for line in lines if line.startswith("{")]
+        texts = [line for line in lines if not line.startswith("{")]
+        assert sorted(event["fault"] for event in events) == sorted(texts), lines
+        assert {event["event_id"] for event in events} == {1005}, events
+        found = [re.match(r"(FB\d+): --([a-z-]+) \((\w+)\) is .+; \w+", text) for text in texts]
+        pairs = [(match[1], match[2]) for match in found if match]
+        assert sorted(pairs) == sorted(expected), f"\nfound {texts}\nexpected {expected}"
+        for match in filter(None, found):
+            assert match[3] == "FIREFLYBRIDGE_" + match[2].upper().replace("-", "_"), match[0]
+
+
+@then("the telemetry faults cover every start-up check of the page")
+def check_coverage(context: Context) -> None:
+    checks = set(re.findall(r"^\| `(FB\d+)`", SETTINGS_PAGE.read_text(), re.MULTILINE))
+    assert checks == {check for _, expected in context.wrong for check, _ in expected}
+
+
+@given("a telemetry deployment with a peer key and log level debug")
+def deploy_with_key(context: Context) -> None:
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    key_file = Path(folder.name, "key")
+    key_file.write_text(PEER_KEY)
+    arguments = (
+        f"--peer-key-file={key_file}",
+        "--log-level=debug",
+        "--claim-timeout-ms=300",
+        "--drain-timeout-s=0.2",
+        "--drain-delay-s=0",
+    )
+    context.deployment = Deployment(context.processes, Plan(daemons=2, daemon_arguments=arguments))
+    context.deployment.start()
+
+
+@when("recognizable telemetry jobs are answered, resubmitted, fetched and refused")
+def submit_recognizable(context: Context) -> None:
+    deployment = context.deployment
+    bodies = [f"{PAYLOAD}-{index}" for index in range(40)]
+    keys = (f"{deployment.make_prefix('d1')}.{KEY}", f"{KEY}-chosen")
+    for key in keys:
+        for daemon in ("d1", "d2"):
+            assert deployment.submit(daemon, key, bodies).status_code == 200
+        assert deployment.submit("d2", key, ["other-" + PAYLOAD]).status_code == 422
+        assert deployment.call("d2", "GET", f"/v1/jobs/{key}").status_code == 200
+        assert deployment.call("d1", "DELETE", f"/v1/jobs/{key}").status_code == 200
+    unknown = deployment.submit("d1", f"{KEY}-unknown", bodies, route="no-such-route")
+    assert unknown.status_code == 404
+    malformed = deployment.call(
+        "d1", "POST", "/v1/jobs", content=PAYLOAD, headers={"Idempotency-Key": KEY}
+    )
+    assert malformed.status_code == 400
+
+
+@when("recognizable telemetry jobs fail at upstreams, with the log down and at a drain")
+def fail_recognizable(context: Context) -> None:
+    deployment = context.deployment
+    deployment.set_worker_fault("fail")
+    failed = deployment.submit("d1", f"{KEY}-failed", [f"{PAYLOAD}-fail"] * 40)
+    assert failed.status_code == 502, failed.text
+    deployment.set_platform_fault(mode="refuse")
+    down = deployment.submit("d1", f"{KEY}-down", [PAYLOAD])
+    assert down.status_code == 503, down.text
+    deployment.set_platform_fault(mode="none")
+    deployment.set_worker_fault("hang")
+    daemon = deployment.daemons["d1"]
+    cut = f"{deployment.make_prefix('d1')}.{KEY}-cut"
+    accepted = deployment.call(
+        "d1",
+        "POST",
+        "/v1/jobs",
+        json={"route": "booking", "tasks": [{"body": PAYLOAD}] * 40},
+        headers={"Idempotency-Key": cut, "Prefer": "respond-async"},
+    )
+    assert accepted.status_code == 202, accepted.text
+    daemon.terminate()
+    assert daemon.wait_exit() == 0
+    survivor = deployment.daemons["d2"]
+    wait_until(lambda: '"event_id": 3007' in survivor.read_stderr(), detail="event 3007")
+    deployment.list_hosts()
+    wait_until(lambda: '"event_id": 3004' in survivor.read_stderr(), detail="event 3004")
+
+
+@then("the telemetry logs name events but no payload, no key and not the peer key")
+def check_logs(context: Context) -> None:
+    logs = {
+        name: program.read_stderr() + program.read_stdout()
+        for name, program in context.deployment.daemons.items()
+    }
+    for name, text in logs.items():
+        for secret in (PAYLOAD, KEY, PEER_KEY):
+            at = text.find(secret)
+            assert at < 0, f"the log of {name} holds {secret}: {text[max(0, at - 300) : at + 100]}"
+    numbers = {
+        json.loads(line)["event_id"]
+        for text in logs.values()
+        for line in text.splitlines()
+        if "event_id" in line
+    }
+    assert {1001, 1002, 1003, 1004, 2001, 3003, 3004, 3007, 4001, 4003, 5001} <= numbers, numbers
--- a/packages/daemon/src/fireflybridge_daemon/_peering.py
+++ b/packages/daemon/src/fireflybridge_daemon/_peering.py
@@ -84,6 +84,7 @@
         self._clock = clock
         self._membership = Membership(settings.name, failure_domain, clock())
         self._beats: dict[str, Heartbeat] = {}
+        self._live: frozenset[str] = frozenset()
         self._connected: dict[str, str] = {}
         self._handlers: Handlers | None = None
         callbacks = LinkCallbacks(
@@ -120,8 +121,15 @@
         while True:
             await anyio.sleep(TICK_S)
             self._membership.tick(self._clock())
+            self._note_silent()
             self.update_ownership()
 
+    def _note_silent(self) -> None:
+        live = frozenset(daemon.name for daemon in self._membership.list_live(self._clock()))
+        for peer in sorted(self._live - live):
+            log_event(Event.PEER_SILENT, peer=peer)
+        self._live = live
+
     def update_ownership(self) -> None:
         """Serve exactly the upstreams that this daemon owns now."""
         now = self._clock()
--- a/packages/telemetry/src/fireflybridge_telemetry/_events.py
+++ b/packages/telemetry/src/fireflybridge_telemetry/_events.py
@@ -48,9 +48,10 @@
     HOST_LIST_FAILED = EventEntry(3001, Level.WARNING, "host list read failed", ("error",))
     HOST_LIST_IGNORED = EventEntry(3002, Level.WARNING, "host list ignored", ("verdict",))
     PEER_FOUND = EventEntry(3003, Level.INFO, "peer found", ("peer", "incarnation"))
-    PEER_LOST = EventEntry(3004, Level.WARNING, "peer lost", ("peer", "incarnation"))
+    PEER_LOST = EventEntry(3004, Level.WARNING, "peer session ended", ("peer", "incarnation"))
     PEER_MESSAGE_REJECTED = EventEntry(3005, Level.WARNING, "peer message rejected", ("error",))
     PEER_STALLED = EventEntry(3006, Level.WARNING, "peer does not acknowledge messages", ("peer",))
+    PEER_SILENT = EventEntry(3007, Level.WARNING, "peer silent", ("peer",))
     UPSTREAM_ACQUIRED = EventEntry(4001, Level.INFO, "upstream acquired", ("pool", "upstream"))
     UPSTREAM_RELEASED = EventEntry(4002, Level.INFO, "upstream released", ("pool", "upstream"))
     UPSTREAM_EJECTED = EventEntry(4003, Level.WARNING, "upstream ejected", ("pool", "upstream"))
@@ -62,6 +63,8 @@
     REQUEST_FAILED = EventEntry(
         6001, Level.ERROR, "request failed on an internal error", ("error", "place")
     )
+    TRACE_EXPORT_FAILED = EventEntry(6002, Level.WARNING, "trace export failed", ("error",))
+    TRACE_EXPORT_RESTORED = EventEntry(6003, Level.INFO, "trace export restored")
 
     @property
     def entry(self) -> EventEntry:
--- a/packages/telemetry/src/fireflybridge_telemetry/_metrics.py
+++ b/packages/telemetry/src/fireflybridge_telemetry/_metrics.py
@@ -31,11 +31,12 @@
         self.ownership = self._count(
             "ownership_changes", "Upstreams acquired or released.", "change"
         )
-        self.peers_lost = self._count("peers_lost", "Peers not heard from for the loss time.")
+        self.peers_lost = self._count("peers_lost", "Sessions with peers that ended.")
         self.queued = self._gauge("queued_tasks", "Tasks in the pool's queue.", "pool")
         self.free_slots = self._gauge("free_slots", "Slots of owned upstreams that wait.", "pool")
         self.revision_offset = self._gauge("tables_offset", "Log offset of the tables in force.")
         self.tables_faults = self._count("tables_faults", "Unreadable records of the tables.")
+        self.spans = self._count("spans", "Trace spans by what became of them.", "result")
         self.loop_lag = self._gauge("event_loop_lag_seconds", "Delay of a timer on the event loop.")
         self.response = Histogram(
             "fireflybridge_response_ratio",
