Keep two fifths of the slots from long work

Cause: at full load single requests waited 148 ms at p99 with 70% of the slots open to long work. Conclusion: 60% is kept.

--- a/packages/dispatch/src/fireflybridge_dispatch/_classes.py
+++ b/packages/dispatch/src/fireflybridge_dispatch/_classes.py
@@ -6,7 +6,7 @@
 
 LONG_RATIO = 6.0  # of the lower quartile of the pool's run times
 SHORT_RATIO = 4.5  # a long kind of task becomes short again below this, so that it does not flap
-LONG_CEILING = 0.7  # of the slots; the rest stays free for short work
+LONG_CEILING = 0.6  # of the slots; the rest stays free for short work
 LONG_FLOOR = 0.2  # of the slots; long work that waits gets at least these
 LONG_PASSES = 16  # short starts that pass a waiting long task where the floor is below one slot
 
