Trace each hop and export the spans over OTLP

A request had one traceparent passed through and no span. Front, claim, queue wait, move to a peer, forwarding and the upstream request now each have a span; a span's context travels in the message or request of its hop. One task exports spans as OTLP JSON from a bounded queue that drops and counts; a failing collector is named once for each outage.

--- a/packages/daemon/src/fireflybridge_daemon/_daemon.py
+++ b/packages/daemon/src/fireflybridge_daemon/_daemon.py
@@ -24,12 +24,20 @@
 from fireflybridge_peers import LinkSettings
 from fireflybridge_platform import HttpHostList, HttpLog
 from fireflybridge_tables import Pool
-from fireflybridge_telemetry import Event, Metrics, log_event
+from fireflybridge_telemetry import (
+    Event,
+    ExportSettings,
+    Metrics,
+    SpanExporter,
+    Tracer,
+    log_event,
+)
 
 HOUSEKEEPING_S = 0.25
 # After the drain the last answers still have to reach their callers.
 ANSWER_GRACE_S = 2.0
 OPERATORS_GRACE_S = 0.5
+TRACE_FINISH_S = 2.0
 DEFAULT_KEEP_INTERVAL_S = 300.0
 BYTES_PER_MB = 1024 * 1024
 
@@ -45,7 +53,10 @@
         self._ready = False
         self._operators_stop = anyio.Event()
         self.callers_closed = anyio.Event()
-        self._hooks = PoolHooks(self._deliver, self._is_wanted)
+        self._exporter = self._make_exporter()
+        emit = None if self._exporter is None else self._exporter.emit
+        self.tracer = Tracer(settings.trace_ratio, emit)
+        self._hooks = PoolHooks(self._deliver, self._is_wanted, self.tracer)
         keep_s = settings.log_retention_s / 2 or DEFAULT_KEEP_INTERVAL_S
         self.configuration = Configuration(log, self._make_runner, keep_s, self.metrics)
         self.peering = Peering(
@@ -61,8 +72,8 @@
         self.claims = Claims(
             log, self.incarnation, self._make_limits(), self.peering, group, self.metrics
         )
-        self.forwarding = Forwarding(self.peering, group)
-        self.mover = Mover(self.peering, self._deliver_local, self.metrics)
+        self.forwarding = Forwarding(self.peering, group, self.tracer)
+        self.mover = Mover(self.peering, self._deliver_local, self.metrics, self.tracer)
         self.submissions = Submissions(
             Identity(self.incarnation, settings.retention_s),
             self.book,
@@ -72,6 +83,7 @@
             self.forwarding,
             group,
             self.metrics,
+            self.tracer,
             self.mover.offer,
         )
         self.configuration.on_change = self.peering.update_ownership
@@ -127,6 +139,8 @@
         self._group.start_soon(self.peering.follow_hosts, hosts, self.settings.host_list_interval_s)
         self._group.start_soon(self.peering.follow_time)
         self._group.start_soon(self._keep_house)
+        if self._exporter is not None:
+            self._group.start_soon(self._exporter.run)
         self.operators_address = await self._group.start(
             serve_app,
             OperatorsApp(self),
@@ -138,7 +152,7 @@
 
     async def serve_callers(self, stop: anyio.Event, *, task_status: Any) -> None:
         """Serve the callers' port until ``stop`` is set and open requests have ended."""
-        app = CallersApp(self.submissions, self._count_refusal, report_failure)
+        app = CallersApp(self.submissions, self.tracer, self._count_refusal, report_failure)
         await serve_app(
             app,
             self.settings.callers_address,
@@ -166,11 +180,17 @@
         if cut:
             log_event(Event.DRAIN_CUT, submissions=cut)
 
+    async def finish_traces(self) -> None:
+        """Export the spans that wait."""
+        if self._exporter is not None:
+            await self._exporter.finish(TRACE_FINISH_S)
+
     def stop_operators(self) -> None:
         """Close the operators' port."""
         self._operators_stop.set()
 
     def _deliver(self, task: Task, outcome: Outcome) -> None:
+        self.tracer.end_wait(task)
         if not self.mover.settle(task, outcome):
             self.submissions.deliver(task, outcome)
         self.mover.pull(task.pool)
@@ -184,6 +204,13 @@
     def _make_runner(self, pool: Pool) -> PoolRunner:
         return PoolRunner(pool, self._group, self.metrics, self._hooks)
 
+    def _make_exporter(self) -> SpanExporter | None:
+        url = self.settings.trace_url
+        if not url:
+            return None
+        target = ExportSettings(url, self.settings.name, self.incarnation)
+        return SpanExporter(target, self.metrics)
+
     def _make_link_settings(self) -> LinkSettings:
         key_file = self.settings.peer_key_file
         return LinkSettings(
@@ -272,6 +299,7 @@
     await daemon.drain(hurry)
     stop.set()
     await daemon.callers_closed.wait()
+    await daemon.finish_traces()
     daemon.stop_operators()
     front.cancel_scope.cancel()
 
--- a/packages/daemon/src/fireflybridge_daemon/_forwarding.py
+++ b/packages/daemon/src/fireflybridge_daemon/_forwarding.py
@@ -2,6 +2,7 @@
 
 import itertools
 from collections.abc import Iterable
+from dataclasses import replace
 from typing import Protocol
 
 import anyio
@@ -17,6 +18,7 @@
 )
 from fireflybridge_peers import Answer as AnswerMessage
 from fireflybridge_peers import Cancel, Fetch, Lost, Message, SendFailure
+from fireflybridge_telemetry import SpanKind, Tracer, find_context
 
 # The executor answers at the submission's deadline; this much later it counts as unreachable.
 ANSWER_MARGIN_S = 2.0
@@ -51,9 +53,10 @@
 class Forwarding:
     """Own the requests that wait for another daemon's answer."""
 
-    def __init__(self, directory: PeerDirectory, group: TaskGroup) -> None:
+    def __init__(self, directory: PeerDirectory, group: TaskGroup, tracer: Tracer) -> None:
         self._directory = directory
         self._group = group
+        self._tracer = tracer
         self._requests = itertools.count(1)
         self._waiting: dict[int, _Waiter] = {}
 
@@ -64,7 +67,10 @@
             detail = "the daemon that may start this key is gone; an earlier request may have run"
             return Refused(Problem.EXECUTOR_GONE, Ran.MAY_HAVE_RUN, detail)
         limit_s = (submission.deadline_s or DEFAULT_WAIT_S) + ANSWER_MARGIN_S
-        answer = await self._ask(peer, submission, digest, limit_s)
+        span = self._tracer.begin("forward", submission.traceparent, SpanKind.CLIENT)
+        forwarded = replace(submission, traceparent=find_context(span, submission.traceparent))
+        answer = await self._ask(peer, forwarded, digest, limit_s)
+        self._tracer.end(span, peer=peer, answer=type(answer).__name__)
         if answer is None:
             detail = f"daemon {peer} did not answer; the submission may have run"
             return Refused(Problem.EXECUTOR_UNREACHABLE, Ran.MAY_HAVE_RUN, detail)
--- a/packages/daemon/src/fireflybridge_daemon/_mover.py
+++ b/packages/daemon/src/fireflybridge_daemon/_mover.py
@@ -2,7 +2,7 @@
 
 import time
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from itertools import count
 from typing import Protocol
 
@@ -24,7 +24,7 @@
     accept_task,
     assign_task,
 )
-from fireflybridge_telemetry import Metrics
+from fireflybridge_telemetry import Metrics, Span, SpanKind, Tracer
 
 # A Pull asks for this share of the own slots more than are free, so that a slot that ends a task
 # finds the next one here instead of waiting for a round trip between daemons.
@@ -54,6 +54,7 @@
     task: Task
     peer: str
     incarnation: str
+    span: Span | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,10 +86,12 @@
         exchange: Exchange,
         deliver: Callable[[Task, Outcome], bool],
         metrics: Metrics,
+        tracer: Tracer,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._exchange = exchange
         self._deliver = deliver
+        self._tracer = tracer
         self._clock = clock
         self._assigned: dict[TaskId, Assigned] = {}
         self._accepted: dict[TaskId, Accepted] = {}
@@ -187,9 +190,12 @@
             self._wasted.inc()
         assignment = next(self._assignments)
         now = self._clock()
-        message = Assign(assignment, pull.pool, tuple(assign_task(task, now) for task in tasks))
         for task in tasks:
-            self._assigned[task.id] = Assigned(task, peer, incarnation)
+            self._tracer.end_wait(task)
+            span = self._tracer.begin("move to peer", task.traceparent, SpanKind.CLIENT)
+            self._assigned[task.id] = Assigned(task, peer, incarnation, span)
+        marked = (_mark_task(self._assigned[task.id]) for task in tasks)
+        message = Assign(assignment, pull.pool, tuple(assign_task(task, now) for task in marked))
         self._moved_out.inc(len(tasks))
         if isinstance(self._exchange.send(peer, message), Err):
             self._take_back(task.id for task in tasks)
@@ -214,6 +220,7 @@
         for task in tasks:
             self._accepted[task.id] = Accepted(peer, incarnation, message.assignment)
         self._moved_in.inc(len(tasks))
+        self._tracer.begin_waits(tasks)
         runner.queue.accept(tasks)
 
     def receive_results(self, peer: str, message: Results) -> None:
@@ -223,7 +230,7 @@
             if assigned is None or assigned.peer != peer:
                 continue
             del self._assigned[result.id]
-            self._finish(assigned.task, result.outcome)
+            self._finish(assigned, result.outcome)
 
     def receive_returned(self, peer: str, message: Returned) -> None:
         """Queue tasks again that a peer never started."""
@@ -270,12 +277,14 @@
         for task_id in gone:
             if task_id not in unsent:
                 assigned = self._assigned.pop(task_id)
-                self._finish(assigned.task, MayHaveRun(Cause.PEER_LOST, lost.peer))
+                self._finish(assigned, MayHaveRun(Cause.PEER_LOST, lost.peer))
         for places in (self._backlogs, self._asked):
             for place in [place for place in places if place.peer == lost.peer]:
                 del places[place]
 
-    def _finish(self, task: Task, outcome: Outcome) -> None:
+    def _finish(self, assigned: Assigned, outcome: Outcome) -> None:
+        task = assigned.task
+        self._tracer.end(assigned.span, peer=assigned.peer, outcome=type(outcome).__name__)
         runner = self._exchange.find_runner(task.pool)
         if runner is not None:
             run_s = outcome.run_s if isinstance(outcome, Done) else 0.0
@@ -284,8 +293,18 @@
 
     def _take_back(self, task_ids: Iterable[TaskId]) -> None:
         for task_id in tuple(task_ids):
-            task = self._assigned.pop(task_id).task
+            assigned = self._assigned.pop(task_id)
+            task = assigned.task
+            self._tracer.end(assigned.span, peer=assigned.peer, outcome="Returned")
+            self._tracer.begin_waits((task,))
             runner = self._exchange.find_runner(task.pool)
             last = runner.queue.put_back(task) if runner is not None else None
             if last is not None:
                 self._deliver(task, last)
+
+
+def _mark_task(assigned: Assigned) -> Task:
+    """Return the task with the context of its move, so that the peer's spans lie below it."""
+    if assigned.span is None:
+        return assigned.task
+    return replace(assigned.task, traceparent=str(assigned.span.context))
--- a/packages/daemon/src/fireflybridge_daemon/_pools.py
+++ b/packages/daemon/src/fireflybridge_daemon/_pools.py
@@ -3,7 +3,7 @@
 import random
 import time
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import anyio
 from anyio.abc import TaskGroup
@@ -11,7 +11,7 @@
 from fireflybridge_core import Cause, Done, MayHaveRun, NotRun, Outcome, Task
 from fireflybridge_dispatch import Ejected, Open, PoolQueue, Probe, RetryBudget, UpstreamHealth
 from fireflybridge_tables import Pool, Upstream
-from fireflybridge_telemetry import Event, Metrics, log_event
+from fireflybridge_telemetry import Event, Metrics, SpanKind, Tracer, log_event
 from fireflybridge_upstream import UpstreamConnection
 
 MIN_RETRY_DELAY_S = 0.01
@@ -24,10 +24,11 @@
 
 @dataclass(frozen=True, slots=True)
 class PoolHooks:
-    """Connect a pool to the daemon: where outcomes go, and whether a task is still wanted."""
+    """Connect a pool to the daemon: where outcomes and spans go, and which tasks are wanted."""
 
     deliver: Deliver
     is_wanted: IsWanted
+    tracer: Tracer
 
 
 class _Tenure:
@@ -55,6 +56,7 @@
         self._health = UpstreamHealth(pool, time.monotonic)
         self._group = group
         self._hooks = hooks
+        self._tracer = hooks.tracer
         self._tenures: dict[str, _Tenure] = {}
         self._running = 0
         self._jitter = random.Random()
@@ -127,7 +129,8 @@
             while not tenure.ended:
                 task = await self._wait_for_task(tenure)
                 if task is not None:
-                    outcome = await self._exchange(connection, task)
+                    self._tracer.end_wait(task)
+                    outcome = await self._exchange(connection, upstream.name, task)
                     self._note_health(upstream.name, outcome)
                     self._settle(task, outcome)
         finally:
@@ -155,13 +158,18 @@
             self._health.release(name)
             raise
 
-    async def _exchange(self, connection: UpstreamConnection, task: Task) -> Outcome:
+    async def _exchange(self, connection: UpstreamConnection, upstream: str, task: Task) -> Outcome:
         if not self._hooks.is_wanted(task):
             return NotRun(Cause.CANCELLED)
         self._running += 1
         try:
             self._starts.inc()
-            return await connection.exchange(task)
+            span = self._tracer.begin("upstream request", task.traceparent, SpanKind.CLIENT)
+            sent = task if span is None else replace(task, traceparent=str(span.context))
+            outcome = await connection.exchange(sent)
+            kind = type(outcome).__name__
+            self._tracer.end(span, pool=task.pool, upstream=upstream, outcome=kind)
+            return outcome
         finally:
             self._running -= 1
 
@@ -178,6 +186,7 @@
         match outcome:
             case NotRun(cause=Cause.CONNECT_FAILED | Cause.GUARD_REFUSED):
                 self._retries.inc()
+                self._tracer.begin_waits((task,))
                 last = self.queue.put_back(task)
                 if last is not None:
                     self._deliver(task, last)
@@ -204,6 +213,7 @@
 
     async def _retry_later(self, task: Task) -> None:
         await anyio.sleep(self._jitter.uniform(MIN_RETRY_DELAY_S, MAX_RETRY_DELAY_S))
+        self._tracer.begin_waits((task,))
         self.queue.put((task,))
 
     def _deliver(self, task: Task, outcome: Outcome) -> None:
--- a/packages/daemon/src/fireflybridge_daemon/_submissions.py
+++ b/packages/daemon/src/fireflybridge_daemon/_submissions.py
@@ -55,7 +55,7 @@
 from fireflybridge_dispatch import Refused as NotAdmitted
 from fireflybridge_front import IssuedPrefix
 from fireflybridge_tables import Route
-from fireflybridge_telemetry import Metrics
+from fireflybridge_telemetry import Metrics, SpanKind, Tracer
 
 UNKEYED_PREFIX = "fbu-"
 LOG_DOWN_HINT = "use a key under a prefix from POST /v1/key-prefixes, which needs no log"
@@ -116,6 +116,7 @@
         forwarder: Forwarder,
         group: TaskGroup,
         metrics: Metrics,
+        tracer: Tracer,
         offer: Callable[[str], None],
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
@@ -127,6 +128,7 @@
         self._forwarder = forwarder
         self._group = group
         self._metrics = metrics
+        self._tracer = tracer
         self._offer = offer
         self._clock = clock
         self._attempts = itertools.count(1)
@@ -286,7 +288,9 @@
     ) -> Job | Answer:
         key = submission.key
         attempt = Attempt(next(self._attempts), self._clock())
+        span = self._tracer.begin("claim", submission.traceparent, SpanKind.INTERNAL)
         decision = await self._claim(key, digest, attempt, abandoned)
+        self._tracer.end(span, decision=type(decision).__name__)
         pending = PendingClaim(self._identity.incarnation, attempt, abandoned)
         decided = decide_start(pending, decision, self._clock(), self._identity.retention_s)
         attempts = (attempt, *abandoned)
@@ -356,12 +360,14 @@
 
     async def _run_job(self, key: str, job: Job, runner: PoolRunner, keep_s: float) -> None:
         """Queue a job's tasks and see to it that the job has an answer at its deadline."""
+        self._tracer.begin_waits(job.tasks)
         runner.queue.put(job.tasks)
         self._offer(job.pool)
         with anyio.move_on_after(job.expires - self._clock()):
             await job.finished.wait()
         if job.answer is None:
             self._close_job(job, Cause.DEADLINE_PASSED)
+        self._tracer.end_waits(job.tasks)
         self._observe(job)
         if key.startswith(UNKEYED_PREFIX):
             self._book.finish(key, 0.0)
--- a/packages/front/src/fireflybridge_front/__init__.py
+++ b/packages/front/src/fireflybridge_front/__init__.py
@@ -3,7 +3,7 @@
 from fireflybridge_front._callers import CallersApp
 from fireflybridge_front._operators import OperatorsApp
 from fireflybridge_front._server import serve_app
-from fireflybridge_front._service import Dispatcher, IssuedPrefix, Operations
+from fireflybridge_front._service import Dispatcher, IssuedPrefix, Operations, RequestTracer
 
 __all__ = [
     "CallersApp",
@@ -11,5 +11,6 @@
     "IssuedPrefix",
     "Operations",
     "OperatorsApp",
+    "RequestTracer",
     "serve_app",
 ]
--- a/packages/front/src/fireflybridge_front/_callers.py
+++ b/packages/front/src/fireflybridge_front/_callers.py
@@ -25,11 +25,13 @@
 )
 from fireflybridge_front._problems import refuse_malformed, render_internal_error, render_problem
 from fireflybridge_front._requests import MAX_BODY_BYTES, Head, read_head, read_job, read_single
-from fireflybridge_front._service import Dispatcher, IssuedPrefix
+from fireflybridge_front._service import Dispatcher, IssuedPrefix, RequestTracer
 
 JSON_TYPE = (b"content-type", b"application/json")
 BODY_TIMEOUT_S = 10.0
 MAX_WAIT_S = 60.0
+# Written to traces only, for a request that was abandoned before it had an answer.
+CALLER_GONE_STATUS = 499
 WAIT_MS = re.compile(rb"(?:^|&)wait_ms=(\d{1,6})(?:&|$)")
 
 Rendered = tuple[int, list[tuple[bytes, bytes]], bytes]
@@ -41,10 +43,12 @@
     def __init__(
         self,
         dispatcher: Dispatcher,
+        tracer: RequestTracer,
         count_refusal: Callable[[Problem], None],
         report_failure: Callable[[Exception], None],
     ) -> None:
         self._dispatcher = dispatcher
+        self._tracer = tracer
         self._count_refusal = count_refusal
         self._report_failure = report_failure
 
@@ -52,20 +56,31 @@
         """Answer one ASGI request."""
         if scope["type"] != "http":
             return
+        status, headers, body = await self._respond_traced(scope, receive)
+        headers.append((b"content-length", b"%d" % len(body)))
+        await send({"type": "http.response.start", "status": status, "headers": headers})
+        await send({"type": "http.response.body", "body": body})
+
+    async def _respond_traced(self, scope: Any, receive: Any) -> Rendered:
+        sent = dict(scope["headers"]).get(b"traceparent", b"").decode("latin-1")
+        traceparent, span = self._tracer.accept("front", sent)
+        status = CALLER_GONE_STATUS
         try:
-            status, headers, body = await self._respond(scope, receive)
+            rendered = await self._respond(scope, receive, traceparent)
+            status = rendered[0]
+            return rendered
         except Exception as error:
             self._report_failure(error)
             status, headers, body = render_internal_error()
-        headers.append((b"content-length", b"%d" % len(body)))
-        await send({"type": "http.response.start", "status": status, "headers": headers})
-        await send({"type": "http.response.body", "body": body})
+            return status, headers, body
+        finally:
+            self._tracer.end(span, status=status)
 
-    async def _respond(self, scope: Any, receive: Any) -> Rendered:
+    async def _respond(self, scope: Any, receive: Any, traceparent: str) -> Rendered:
         body = await _read_body(receive)
         if isinstance(body, Refused):
             return self._render(body)
-        match read_head(dict(scope["headers"])):
+        match read_head(dict(scope["headers"]), traceparent):
             case Err(refused):
                 return self._render(refused)
             case Ok(head):
--- a/packages/front/src/fireflybridge_front/_requests.py
+++ b/packages/front/src/fireflybridge_front/_requests.py
@@ -49,8 +49,8 @@
     deadline_ms: int | None
 
 
-def read_head(headers: Mapping[bytes, bytes]) -> Result[Head, Refused]:
-    """Read and check the headers of a request."""
+def read_head(headers: Mapping[bytes, bytes], traceparent: str) -> Result[Head, Refused]:
+    """Read and check the headers of a request, whose own trace context is ``traceparent``."""
     key = headers.get(b"idempotency-key", b"").decode("latin-1").strip().strip('"')
     team = headers.get(b"fireflybridge-team", DEFAULT_TEAM.encode()).decode("latin-1")
     deadline = headers.get(b"fireflybridge-deadline-ms", b"")
@@ -65,7 +65,7 @@
         Head(
             key=key,
             team=team,
-            traceparent=headers.get(b"traceparent", b"").decode("latin-1"),
+            traceparent=traceparent,
             content_type=headers.get(b"content-type", b"application/octet-stream").decode(
                 "latin-1"
             ),
--- a/packages/front/src/fireflybridge_front/_service.py
+++ b/packages/front/src/fireflybridge_front/_service.py
@@ -33,6 +33,16 @@
         """Return a prefix for keys that only this daemon may start."""
 
 
+class RequestTracer(Protocol):
+    """Trace callers' requests; a span is opaque to the front."""
+
+    def accept(self, name: str, traceparent: str) -> tuple[str, Any]:
+        """Return the ``traceparent`` for a request's own work, and its span."""
+
+    def end(self, span: Any, **attributes: str | int) -> None:
+        """End a span."""
+
+
 class Operations(Protocol):
     """Answer the operators' port."""
 
