--- a/packages/dispatch/src/fireflybridge_dispatch/_queue.py
+++ b/packages/dispatch/src/fireflybridge_dispatch/_queue.py
@@ -1,9 +1,7 @@
 """State of one pool's queue in one daemon."""
 
-import heapq
 from collections import deque
 from collections.abc import Callable, Sequence
-from itertools import count
 from typing import NamedTuple
 
 from fireflybridge_core import Cause, Done, MayHaveRun, NotRun, Outcome, Task, TaskId
@@ -25,27 +23,22 @@
 from fireflybridge_dispatch._arrivals import ArrivalRates
 from fireflybridge_dispatch._attempts import decide_return
 from fireflybridge_dispatch._backlog import Backlog, Job, Team
-from fireflybridge_dispatch._classes import WorkClass, classify, find_long_limits, order_classes
-from fireflybridge_dispatch._estimates import RunTime, RunTimes
+from fireflybridge_dispatch._classes import WorkClass
+from fireflybridge_dispatch._index import JobIndex
+from fireflybridge_dispatch._kinds import Kinds
 from fireflybridge_dispatch._order import JobView, find_due
 from fireflybridge_dispatch._returned import ReturnedTasks
 from fireflybridge_dispatch._shares import (
-    Use,
-    average_use,
     find_demand,
     find_fair_slots,
     limit_slots,
 )
+from fireflybridge_dispatch._slots import SlotUse
 from fireflybridge_dispatch._snapshot import QueueSnapshot, TeamSnapshot
 from fireflybridge_dispatch._takers import Taker, Takers
 from fireflybridge_tables import Pool, Quota
 
-# A backlog younger than this may still be pulled by other daemons; an older one was not wanted.
-PULL_GRACE_S = 0.25
-PROBE_INTERVAL_S = 1.0  # one submission of a kind is admitted this often although estimates say no
 MAX_TEAMS = 256  # teams kept without queued or running tasks
-MAX_KINDS = 4096
-SPARE_DEADLINES = 256  # outdated entries kept, beside as many as are valid, before a rebuild
 REMOTE = ""  # upstream name of tasks that another daemon pulled
 
 
@@ -62,26 +55,16 @@
 
     def __init__(self, pool: Pool, clock: Callable[[], float]) -> None:
         self._clock = clock
-        self._total = self._local = sum(upstream.slots for upstream in pool.upstreams)
-        self._run_times = RunTimes()
+        self._slots = SlotUse(sum(upstream.slots for upstream in pool.upstreams), clock())
+        self._kinds = Kinds()
         self._takers = Takers()
         self._returned = ReturnedTasks()
         self._backlogs = tuple(Backlog(self._count_slots) for _ in WorkClass)
         self._arrivals = tuple(ArrivalRates() for _ in WorkClass)
         self._teams: dict[str, Team] = {}
-        self._kinds: dict[tuple[str, str], WorkClass] = {}
-        self._probes: dict[tuple[str, str], float] = {}
-        self._jobs: dict[str, list[Job]] = {}
-        self._deadlines: list[tuple[float, int, Job]] = []
-        self._rebuild_at = SPARE_DEADLINES
-        self._serial = count()
+        self._jobs = JobIndex()
         self._running: dict[TaskId, _Start] = {}
-        self._running_by_class = [0 for _ in WorkClass]
-        self._remote = 0
-        self._passes = 0
         self._window_parts = [MOST_OF_WINDOW for _ in WorkClass]
-        self._long_use = Use(find_long_limits(self._total).ceiling, clock())
-        self._backlog_since = clock()
         self.configure(pool)
 
     @property
@@ -109,17 +92,17 @@
 
     def slots_changed(self, total: int, local: int) -> None:
         """Set the slots that this daemon can count on: those of all daemons, and its own."""
-        self._total, self._local = total, local
+        self._slots.total, self._slots.local = total, local
         self._apply_limits()
 
     def admit(self, tasks: Sequence[Task]) -> Admission:
         """Decide whether the tasks of one submission can be answered within their deadline."""
-        if self._total <= 0:
+        if self._slots.total <= 0:
             return Refused(Refusal.NO_SLOTS, NO_SLOTS_RETRY_S)
         if self.queued + len(tasks) > MAX_QUEUED:
             return Refused(Refusal.QUEUE_FULL, QUEUE_FULL_RETRY_S)
         first = tasks[0]
-        run_time, work_class = self._estimate(first)
+        run_time, work_class = self._kinds.estimate(first)
         team, backlog = self._find_team(first.team), self._backlogs[work_class]
         now, slots = self._clock(), self._count_slots()
         view = JobView(now, first.deadline, len(tasks), run_time.mean_s, run_time.typical_s)
@@ -134,7 +117,7 @@
             slots=team.limit,
         )
         load = Load(
-            slots=self._count_class_slots(work_class),
+            slots=self._count_class_slots(work_class, now),
             ahead_s=backlog.work.sum_until(due),
             passing_s=self._arrivals[work_class].sum_passing(now, due - now),
             window_part=self._window_parts[work_class],
@@ -143,7 +126,7 @@
             TeamWork(lane.work.work_s, lane.team.weight) for lane in backlog.walk_other_lanes(team)
         )
         match decide_admission(request, load, others):
-            case Refused() if self._may_probe(first):
+            case Refused() if self._kinds.may_probe(first, now):
                 return Admitted(run_time.high_s)
             case decision:
                 return decision
@@ -151,28 +134,23 @@
     def put(self, tasks: Sequence[Task]) -> None:
         """Queue the tasks of one submission and wake waiting slots."""
         first = tasks[0]
-        run_time, work_class = self._estimate(first)
+        run_time, work_class = self._kinds.estimate(first)
         team, backlog = self._find_team(first.team), self._backlogs[work_class]
+        now = self._clock()
         if not self.queued:
-            self._backlog_since = self._clock()
+            self._slots.backlog_since = now
         job = Job(deque(tasks), team.lanes[work_class], work_class, run_time)
-        now = self._clock()
         backlog.add(job, now)
         work_s = len(tasks) * run_time.mean_s
         self._arrivals[work_class].add(now, job.due - now, work_s)
-        self._jobs.setdefault(job.key, []).append(job)
-        if len(self._deadlines) >= self._rebuild_at:
-            self._deadlines = [entry for entry in self._deadlines if entry[2].tasks]
-            heapq.heapify(self._deadlines)
-            self._rebuild_at = 2 * len(self._deadlines) + SPARE_DEADLINES
-        heapq.heappush(self._deadlines, (job.deadline, next(self._serial), job))
+        self._jobs.add(job)
         self._hand_out()
 
     def accept(self, tasks: Sequence[Task]) -> None:
         """Queue tasks that another daemon handed over; they are never moved on."""
         now = self._clock()
         for task in tasks:
-            _, work_class = self._estimate(task)
+            _, work_class = self._kinds.estimate(task)
             self._returned.pin(task.id)
             self._returned.add(task, self._find_team(task.team), work_class, frozenset(), now)
         self._hand_out()
@@ -204,7 +182,7 @@
         match decide_return(task, start.upstream if start else REMOTE):
             case NotRun() as outcome:
                 self._returned.forget(task.id)
-                self._spoil(task.id.key)
+                self._jobs.spoil(task.id.key)
                 self._hand_out()
                 return outcome
             case again:
@@ -222,14 +200,14 @@
                 self._learn(task, start.upstream, run_s)
             case MayHaveRun(cause=Cause.TIMED_OUT):
                 self._learn(task, start.upstream, run_s)
-                self._spoil(task.id.key)
+                self._jobs.spoil(task.id.key)
             case NotRun() | MayHaveRun():
-                self._spoil(task.id.key)
+                self._jobs.spoil(task.id.key)
         self._hand_out()
 
     def cancel(self, key: str) -> tuple[Task, ...]:
         """Remove and return the queued tasks of a submission."""
-        jobs = self._jobs.pop(key, [])
+        jobs = self._jobs.pop_key(key)
         returned = self._returned.remove_key(key)
         queued = (task for job in jobs for task in self._backlogs[job.work_class].clear(job))
         return (*(one.task for one in returned), *queued)
@@ -242,14 +220,13 @@
         now = self._clock()
         expired = [one.task for one in self._returned.remove_expired(now)]
         counts = [0 for _ in WorkClass]
-        while self._deadlines and self._deadlines[0][0] <= now:
-            job = heapq.heappop(self._deadlines)[2]
-            if job.tasks:
-                counts[job.work_class] += len(job.tasks)
-                expired.extend(self._backlogs[job.work_class].clear(job))
-                self._drop(job)
+        for job in self._jobs.pop_expired(now):
+            counts[job.work_class] += len(job.tasks)
+            expired.extend(self._backlogs[job.work_class].clear(job))
         self._window_parts = [*map(adapt_window_part, self._window_parts, counts)]
-        self._sample_long_use(now)
+        if not self.queued:
+            self._slots.backlog_since = None
+        self._slots.sample_long(self._backlogs[WorkClass.LONG].queued, now)
         self._refresh_shares(now)
         self._hand_out()
         return tuple(expired)
@@ -267,9 +244,9 @@
             queued=self.queued,
             queued_long=long.queued,
             running=len(self._running),
-            running_long=self._running_by_class[WorkClass.LONG],
+            running_long=self._slots.running[WorkClass.LONG],
             free=self.free,
-            wait_s=short.work.work_s / self._count_class_slots(WorkClass.SHORT),
+            wait_s=short.work.work_s / self._count_class_slots(WorkClass.SHORT, self._clock()),
             teams=tuple(sorted(teams, key=lambda row: row.team)),
         )
 
@@ -320,7 +297,7 @@
         task = self._backlogs[job.work_class].take(job)
         self._start(task, _Start(job.lane.team, job.work_class, upstream), now)
         if not job.tasks:
-            self._drop(job)
+            self._jobs.drop(job)
         return task
 
     def _find_job(self, now: float) -> Job | None:
@@ -328,9 +305,7 @@
         short, long = self._backlogs
         if not long.queued:
             return short.find_first(now) or short.find_late(now)
-        limits = find_long_limits(self._local + self._remote)
-        running_long = self._running_by_class[WorkClass.LONG]
-        order = order_classes(limits, running_long, self._passes)
+        order = self._slots.order()
         for find in (Backlog.find_first, Backlog.find_late):
             for work_class in order:
                 if (job := find(self._backlogs[work_class], now)) is not None:
@@ -340,20 +315,15 @@
     def _start(self, task: Task, start: _Start, now: float) -> None:
         """Count a task as running."""
         self._running[task.id] = start
-        self._running_by_class[start.work_class] += 1
-        self._remote += start.upstream == REMOTE
-        if start.work_class is WorkClass.LONG:
-            self._passes = 0
-        elif self._backlogs[WorkClass.LONG].queued:
-            self._passes += 1
+        long_queued = self._backlogs[WorkClass.LONG].queued
+        self._slots.start(start.work_class, start.upstream == REMOTE, long_queued)
         self._change_use(start.team, start.work_class, 1, now)
 
     def _release(self, task_id: TaskId) -> _Start | None:
         """Count a task as no longer running."""
         start = self._running.pop(task_id, None)
         if start is not None:
-            self._running_by_class[start.work_class] -= 1
-            self._remote -= start.upstream == REMOTE
+            self._slots.end(start.work_class, start.upstream == REMOTE)
             self._change_use(start.team, start.work_class, -1, self._clock())
         return start
 
@@ -373,7 +343,7 @@
             for lane in lanes:
                 lane.change_use(0, now)
             backlog.fair_slots = find_fair_slots(
-                self._count_class_slots(work_class),
+                self._count_class_slots(work_class, now),
                 (find_demand(lane.use, lane.work.work_s, lane.team.weight) for lane in lanes),
             )
             for lane in backlog.lanes.values():
@@ -383,44 +353,10 @@
         """Learn from a run time in seconds."""
         if run_s <= 0.0:
             return
-        run_time = self._run_times.observe(task.route, task.team, run_s)
+        run_time = self._kinds.learn(task, run_s)
         if upstream != REMOTE:
             self._takers.learn_pace(upstream, run_s, run_time.typical_s)
 
-    def _spoil(self, key: str) -> None:
-        """Put the rest of a job last that can no longer become complete."""
-        for job in self._jobs.get(key, ()):
-            job.spoiled = True
-
-    def _drop(self, job: Job) -> None:
-        """Forget a job without queued tasks."""
-        jobs = self._jobs.get(job.key, [])
-        if job in jobs:
-            jobs.remove(job)
-        if not jobs:
-            self._jobs.pop(job.key, None)
-
-    def _estimate(self, task: Task) -> tuple[RunTime, WorkClass]:
-        """Return the learned run time and the class of a kind of task."""
-        kind = (task.route, task.team)
-        run_time = self._run_times.estimate(task.route, task.team, task.expected_s)
-        reference_s = self._run_times.find_reference(run_time.typical_s)
-        if len(self._kinds) > MAX_KINDS:
-            self._kinds.clear()
-        previous = self._kinds.get(kind, WorkClass.SHORT)
-        self._kinds[kind] = work_class = classify(run_time.typical_s, reference_s, previous)
-        return run_time, work_class
-
-    def _may_probe(self, task: Task) -> bool:
-        """Admit one submission of a kind now and then, so that wrong estimates are unlearned."""
-        now, kind = self._clock(), (task.route, task.team)
-        if now - self._probes.get(kind, -PROBE_INTERVAL_S) < PROBE_INTERVAL_S:
-            return False
-        if len(self._probes) > MAX_KINDS:
-            self._probes.clear()
-        self._probes[kind] = now
-        return True
-
     def _find_team(self, name: str) -> Team:
         """Return the state of a team."""
         team = self._teams.get(name)
@@ -430,7 +366,7 @@
                     name: one for name, one in self._teams.items() if one.running or one.queued
                 }
             quota = self._quotas.get(name, Quota(name))
-            team = Team(name, quota.weight, limit_slots(quota, max(self._total, 1)))
+            team = Team(name, quota.weight, limit_slots(quota, max(self._slots.total, 1)))
             self._teams[name] = team
         return team
 
@@ -438,33 +374,14 @@
         """Apply quotas and slots to the teams at hand."""
         for team in self._teams.values():
             quota = self._quotas.get(team.name, Quota(team.name))
-            team.weight, team.limit = quota.weight, limit_slots(quota, max(self._total, 1))
+            team.weight, team.limit = quota.weight, limit_slots(quota, max(self._slots.total, 1))
         self._refresh_shares(self._clock())
         self._hand_out()
 
     def _count_slots(self) -> int:
         """Return the slots that the backlog can count on."""
-        young = not self.queued or self._clock() - self._backlog_since < PULL_GRACE_S
-        return max(1, self._total if young else self._local + self._remote)
+        return self._slots.count(self._clock())
 
-    def _count_class_slots(self, work_class: WorkClass) -> float:
+    def _count_class_slots(self, work_class: WorkClass, now: float) -> float:
         """Return the slots that a class can count on beside the other class."""
-        slots = self._count_slots()
-        limits = find_long_limits(slots)
-        long_use = min(max(self._long_use.slots, limits.floor), limits.ceiling)
-        if work_class is WorkClass.LONG:
-            return max(1.0, long_use)
-        running_long = self._running_by_class[WorkClass.LONG]
-        return max(
-            1.0, slots - (long_use if self._backlogs[WorkClass.LONG].queued else running_long)
-        )
-
-    def _sample_long_use(self, now: float) -> None:
-        """Learn how many slots long work gets of late: what it uses, and what it could use."""
-        limits = find_long_limits(self._count_slots())
-        long = self._backlogs[WorkClass.LONG]
-        usable = self._running_by_class[WorkClass.LONG]
-        if not long.queued:
-            idle = self._count_slots() - len(self._running)
-            usable = min(limits.ceiling, usable + max(0, idle))
-        self._long_use = average_use(self._long_use, usable, now)
+        return self._slots.count_for(work_class, self._backlogs[WorkClass.LONG].queued, now)
