--- a/features/telemetry.feature
+++ b/features/telemetry.feature
@@ -12,3 +12,23 @@
     When recognizable telemetry jobs are answered, resubmitted, fetched and refused
     And recognizable telemetry jobs fail at upstreams, with the log down and at a drain
     Then the telemetry logs name events but no payload, no key and not the peer key
+
+  Scenario: One trace shows every hop over two daemons
+    Given a traced deployment of two daemons with recording upstreams
+    When a sampled traced job of 40 tasks under a chosen key goes to the first daemon
+    Then the trace has one front span below the caller and one claim below that
+    And the trace has a queue wait and an upstream request for each task, moved ones below their move
+    And each traced upstream got the context of its own upstream request
+    When a sampled traced job goes to the first daemon under a prefix of the second
+    Then the trace has a forward below the front of the first daemon and the rest below the forward
+
+  Scenario: Unsampled requests leave no spans, and a caller's context goes on
+    Given a traced deployment of two daemons with recording upstreams
+    When traced requests come unsampled, without context and with broken contexts
+    Then each traced upstream got an unsampled context, the caller's own where that was valid
+    And the collector has only the spans of a sampled request that came last
+
+  Scenario: A failing collector costs spans and no request
+    Given a traced deployment of two daemons with recording upstreams
+    When the trace collector refuses, and later hangs, while sampled traced jobs run
+    Then every traced job was answered, and the lost spans are counted and named once for each outage
