--- a/Makefile
+++ b/Makefile
@@ -4,9 +4,9 @@
 VENV ?= .venv
 BIN = $(VENV)/bin
 MEMBERS = $(wildcard packages/*) standins
-CODE = packages standins features demo
+CODE = packages standins features demo bench
 
-.PHONY: setup lint format test demo clean
+.PHONY: setup lint format test bench demo clean
 
 setup: $(VENV)/.installed
 
@@ -28,6 +28,9 @@
 test: setup
 	$(BIN)/python features/run.py
 
+bench: setup
+	PYTHONPATH=features $(BIN)/python bench/run.py $(BENCH)
+
 demo: setup
 	PYTHONPATH=features $(BIN)/python demo/run.py
 
--- a/features/support/deployment.py
+++ b/features/support/deployment.py
@@ -34,7 +34,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Plan:
-    """Describe a deployment: domain ``i`` has daemon ``d<i>`` and ``workers`` upstreams.
+    """Describe a deployment: daemon ``d<i>`` is in domain ``fd<i>``, with ``workers`` upstreams each.
+
+    ``domains`` and ``total_workers`` override how many domains and workers there are.
 
     With ``proxied``, links named ``<from>-<to>`` lie between daemons, ``<daemon>-platform`` before
     the platform and ``worker-<name>`` before each worker.
@@ -48,6 +50,8 @@
     daemon_arguments: tuple[str, ...] = ()
     routes: str = ROUTES
     pool: str = "desk"
+    domains: int = 0
+    total_workers: int = 0
 
 
 @dataclass(slots=True)
@@ -68,7 +72,7 @@
         self.platform = self.processes.start("fireflybridge_standins.platform")
         self.workers = self.processes.start(
             "fireflybridge_standins.worker",
-            f"--count={self.plan.daemons * self.plan.workers}",
+            f"--count={self.plan.total_workers or self.plan.daemons * self.plan.workers}",
             f"--slots={self.plan.slots}",
             f"--speed={self.plan.speed}",
         )
@@ -94,7 +98,7 @@
         self.daemons[name] = self.processes.start(
             "fireflybridge_daemon",
             f"--name={name}",
-            f"--failure-domain={name.replace('d', 'fd')}",
+            f"--failure-domain={self._find_daemon_domain(name)}",
             f"--platform-url={url}/view/{name}",
             "--insecure-peers",
             "--callers-address=127.0.0.1:0",
@@ -109,7 +113,7 @@
         """Give the platform the host list of this moment, as each daemon is to see it."""
         for viewer in self.daemons:
             entries = [
-                self._describe_host(name, "entry", name.replace("d", "fd"), address)
+                self._describe_host(name, "entry", self._find_daemon_domain(name), address)
                 for name, address in self._find_peers(viewer)
             ]
             path = f"/view/{viewer}/control/hosts"
@@ -231,8 +235,11 @@
     def _find_worker(self, name: str, address: str) -> str:
         return address if self.proxy is None else self._link(f"worker-{name}", address)
 
+    def _find_daemon_domain(self, name: str) -> str:
+        return self._find_domain(int(name.removeprefix("d")) - 1)
+
     def _find_domain(self, index: int) -> str:
-        return f"fd{index % self.plan.daemons + 1}"
+        return f"fd{index % (self.plan.domains or self.plan.daemons) + 1}"
 
     def _describe_workers(self) -> list[dict[str, str]]:
         return [
--- a/packages/daemon/src/fireflybridge_daemon/_forwarding.py
+++ b/packages/daemon/src/fireflybridge_daemon/_forwarding.py
@@ -102,8 +102,16 @@
 
     def drop_peer(self, lost: Lost) -> None:
         """Wake the requests that a vanished incarnation of a peer will not answer."""
+        self.drop_silent(lost.peer)
+
+    def drop_silent(self, peer: str) -> None:
+        """Wake the requests to a peer that is no longer heard.
+
+        A peer that died for good never reports a new incarnation, and its callers would wait for
+        the whole limit.
+        """
         for waiter in self._waiting.values():
-            if waiter.peer == lost.peer:
+            if waiter.peer == peer:
                 waiter.answered.set()
 
     async def serve(self, peer: str, fetch: Fetch, local: LocalAnswers) -> None:
--- a/packages/daemon/src/fireflybridge_daemon/_jobs.py
+++ b/packages/daemon/src/fireflybridge_daemon/_jobs.py
@@ -2,7 +2,7 @@
 
 import heapq
 import itertools
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import anyio
@@ -14,7 +14,6 @@
     Done,
     Failed,
     MayHaveRun,
-    NotRun,
     Outcome,
     Task,
     TaskId,
@@ -54,16 +53,11 @@
         """Tell whether a task has no outcome yet and its submission was not cancelled."""
         return not self.cancelled and self._outcomes[index] is None
 
-    def close(self, never_started: Iterable[TaskId], cause: Cause) -> None:
-        """Give every task without an outcome one.
-
-        Tasks in ``never_started`` end as not run for ``cause``; the others may have run.
-        """
-        queued = {task_id.index for task_id in never_started}
+    def close(self) -> None:
+        """End every task without an outcome as one that may have run."""
         for index, outcome in enumerate(self._outcomes):
             if outcome is None:
-                lost = NotRun(cause) if index in queued else MayHaveRun(Cause.TIMED_OUT)
-                self.deliver(index, lost)
+                self.deliver(index, MayHaveRun(Cause.TIMED_OUT))
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/fireflybridge_daemon/_mover.py
+++ b/packages/daemon/src/fireflybridge_daemon/_mover.py
@@ -32,6 +32,18 @@
 # Backlog goes to this many peers at once; the others learn of it from heartbeats.
 MAX_BACKLOG_PEERS = 8
 BACKLOG_INTERVAL_S = 0.02
+# Heartbeats are up to a second old, so a peer that seemed full is offered a few tasks too.
+MIN_OFFERED_TASKS = 2
+# An offer older than this has mostly been taken by others; pulling it costs an empty answer.
+OFFER_LIFETIME_S = 0.25
+
+
+@dataclass(frozen=True, slots=True)
+class Helper:
+    """Name a peer that serves a pool, with the free slots of its last heartbeat."""
+
+    peer: str
+    free_slots: int
 
 
 class Exchange(Protocol):
@@ -40,8 +52,8 @@
     def send(self, peer: str, message: Message) -> Result[None, SendFailure]:
         """Queue a message to a peer."""
 
-    def find_helpers(self, pool: str, limit: int) -> tuple[str, ...]:
-        """Return ready peers that own upstreams of a pool, those with free slots first."""
+    def find_helpers(self, pool: str, limit: int) -> tuple[Helper, ...]:
+        """Return ready peers that serve a pool, those with the most free slots first."""
 
     def find_runner(self, pool: str) -> PoolRunner | None:
         """Return the runner of a pool."""
@@ -66,6 +78,14 @@
     assignment: int
 
 
+@dataclass(frozen=True, slots=True)
+class Offer:
+    """Note how many tasks a peer offered, and until when that counts."""
+
+    count: int
+    expires: float
+
+
 @dataclass(frozen=True, slots=True)
 class PeerPool:
     """Identify a pool's queue at a peer."""
@@ -95,7 +115,7 @@
         self._clock = clock
         self._assigned: dict[TaskId, Assigned] = {}
         self._accepted: dict[TaskId, Accepted] = {}
-        self._backlogs: dict[PeerPool, int] = {}
+        self._backlogs: dict[PeerPool, Offer] = {}
         self._asked: dict[PeerPool, int] = {}
         self._announced: dict[str, float] = {}
         self._assignments = count(1)
@@ -133,7 +153,9 @@
         self._cancelled.discard(task.id)
         if not self._accepted:
             self._emptied.set()
-        result = TaskResult(task.id, accepted.assignment, outcome)
+        runner = self._exchange.find_runner(task.pool)
+        final = outcome if runner is None else runner.judge(task, outcome)
+        result = TaskResult(task.id, accepted.assignment, final)
         self._exchange.send(accepted.peer, Results((result,)))
         return True
 
@@ -146,26 +168,36 @@
         if now - self._announced.get(pool, 0.0) < BACKLOG_INTERVAL_S:
             return
         self._announced[pool] = now
-        for peer in self._exchange.find_helpers(pool, MAX_BACKLOG_PEERS):
-            self._exchange.send(peer, Backlog(pool, runner.queue.movable))
+        waiting = runner.queue.movable
+        for helper in self._exchange.find_helpers(pool, MAX_BACKLOG_PEERS):
+            # A peer is told of as much as it can take, so that the peers' pulls do not compete.
+            share = min(waiting, max(helper.free_slots, MIN_OFFERED_TASKS))
+            self._exchange.send(helper.peer, Backlog(pool, share))
+            waiting -= share
+            if waiting <= 0:
+                break
 
     def note_backlog(self, peer: str, pool: str, queued: int) -> None:
         """Remember how many tasks a peer has queued, and pull some if slots are free."""
         place = PeerPool(peer, pool)
         if queued:
-            self._backlogs[place] = queued
+            self._backlogs[place] = Offer(queued, self._clock() + OFFER_LIFETIME_S)
             self.pull(pool)
         else:
             self._backlogs.pop(place, None)
 
     def pull(self, pool: str) -> None:
         """Ask the peer with the longest queue for as many tasks as slots can take."""
+        if not self._backlogs:
+            return
         runner = self._exchange.find_runner(pool)
         if runner is None or not runner.owned:
             return
+        now = self._clock()
+        self._backlogs = {place: o for place, o in self._backlogs.items() if o.expires > now}
         waiting = {
-            place: queued
-            for place, queued in self._backlogs.items()
+            place: offer.count
+            for place, offer in self._backlogs.items()
             if place.pool == pool and place not in self._asked
         }
         if not waiting:
@@ -177,6 +209,7 @@
         if room < prefetch:
             return
         place = max(waiting, key=lambda candidate: waiting[candidate])
+        room = min(room, waiting[place])
         if isinstance(self._exchange.send(place.peer, Pull(pool, room)), Err):
             del self._backlogs[place]
             return
@@ -207,10 +240,9 @@
         if not message.tasks:
             self._backlogs.pop(place, None)
             return
-        if place in self._backlogs:
-            self._backlogs[place] -= len(message.tasks)
-            if self._backlogs[place] <= 0:
-                del self._backlogs[place]
+        offer = self._backlogs.pop(place, None)
+        if offer is not None and offer.count > len(message.tasks):
+            self._backlogs[place] = replace(offer, count=offer.count - len(message.tasks))
         runner = self._exchange.find_runner(message.pool)
         if runner is None or not runner.owned:
             self._exchange.send(peer, Returned(tuple(task.id for task in message.tasks)))
@@ -251,11 +283,13 @@
         """Give back the peers' tasks that wait in a queue whose slots this daemon gives up."""
         keys = {task_id.key for task_id in self._accepted}
         for task in (task for key in keys for task in runner.queue.cancel(key)):
-            accepted = self._accepted.pop(task.id, None)
-            if accepted is not None:
-                self._exchange.send(accepted.peer, Returned((task.id,)))
-            else:
+            if task.id not in self._accepted:
                 runner.queue.put((task,))
+            elif runner.was_sent(task):
+                self.settle(task, MayHaveRun(Cause.CONNECTION_BROKEN))
+            else:
+                accepted = self._accepted.pop(task.id)
+                self._exchange.send(accepted.peer, Returned((task.id,)))
 
     def drop_peer(self, lost: Lost) -> None:
         """Settle what a vanished incarnation of a peer leaves behind.
@@ -278,9 +312,8 @@
             if task_id not in unsent:
                 assigned = self._assigned.pop(task_id)
                 self._finish(assigned, MayHaveRun(Cause.PEER_LOST, lost.peer))
-        for places in (self._backlogs, self._asked):
-            for place in [place for place in places if place.peer == lost.peer]:
-                del places[place]
+        self._backlogs = {p: offer for p, offer in self._backlogs.items() if p.peer != lost.peer}
+        self._asked = {p: slots for p, slots in self._asked.items() if p.peer != lost.peer}
 
     def _finish(self, assigned: Assigned, outcome: Outcome) -> None:
         task = assigned.task
--- a/packages/daemon/src/fireflybridge_daemon/_peering.py
+++ b/packages/daemon/src/fireflybridge_daemon/_peering.py
@@ -12,7 +12,7 @@
 from fireflybridge_daemon._claiming import Claims
 from fireflybridge_daemon._configuration import Configuration
 from fireflybridge_daemon._forwarding import Forwarding, LocalAnswers
-from fireflybridge_daemon._mover import Mover
+from fireflybridge_daemon._mover import Helper, Mover
 from fireflybridge_daemon._pools import PoolRunner
 from fireflybridge_membership import (
     Applied,
@@ -128,6 +128,8 @@
         live = frozenset(daemon.name for daemon in self._membership.list_live(self._clock()))
         for peer in sorted(self._live - live):
             log_event(Event.PEER_SILENT, peer=peer)
+            if self._handlers is not None:
+                self._handlers.forwarding.drop_silent(peer)
         self._live = live
 
     def update_ownership(self) -> None:
@@ -178,15 +180,15 @@
         """Return the names of the peers that are heard."""
         return tuple(name for name, _ in self._list_beats())
 
-    def find_helpers(self, pool: str, limit: int) -> tuple[str, ...]:
+    def find_helpers(self, pool: str, limit: int) -> tuple[Helper, ...]:
         """Return ready peers that serve a pool, those with the most free slots first."""
-        free = {
-            name: load.free_slots
+        helpers = (
+            Helper(name, load.free_slots)
             for name, beat in self._list_beats()
             for load in beat.pools
             if load.pool == pool and beat.state is PeerState.READY
-        }
-        return tuple(sorted(free, key=lambda name: -free[name])[:limit])
+        )
+        return tuple(sorted(helpers, key=lambda helper: -helper.free_slots)[:limit])
 
     def find_runner(self, pool: str) -> PoolRunner | None:
         """Return the runner of a pool."""
--- a/packages/daemon/src/fireflybridge_daemon/_pools.py
+++ b/packages/daemon/src/fireflybridge_daemon/_pools.py
@@ -8,7 +8,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from fireflybridge_core import Cause, Done, MayHaveRun, NotRun, Outcome, Task
+from fireflybridge_core import Cause, Done, MayHaveRun, NotRun, Outcome, Task, TaskId
 from fireflybridge_dispatch import Ejected, Open, PoolQueue, Probe, RetryBudget, UpstreamHealth
 from fireflybridge_tables import Pool, Upstream
 from fireflybridge_telemetry import Event, Metrics, SpanKind, Tracer, log_event
@@ -59,6 +59,7 @@
         self._tracer = hooks.tracer
         self._tenures: dict[str, _Tenure] = {}
         self._running = 0
+        self._resent: set[TaskId] = set()
         self._jitter = random.Random()
         self._outcomes = {
             kind: metrics.outcomes.labels(pool.name, kind.__name__)
@@ -211,10 +212,31 @@
             case _:
                 return False
 
+    def judge(self, task: Task, outcome: Outcome) -> Outcome:
+        """Return the final outcome of a task.
+
+        A task that was sent, failed and waits to be sent again may have run, whatever ends the
+        wait: its deadline, a cancellation, a refusal.
+        """
+        if task.id not in self._resent:
+            return outcome
+        self._resent.discard(task.id)
+        match outcome:
+            case NotRun(upstream=upstream):
+                return MayHaveRun(Cause.CONNECTION_BROKEN, upstream)
+            case _:
+                return outcome
+
+    def was_sent(self, task: Task) -> bool:
+        """Tell whether a task waits to be sent again."""
+        return task.id in self._resent
+
     async def _retry_later(self, task: Task) -> None:
+        self._resent.add(task.id)
         await anyio.sleep(self._jitter.uniform(MIN_RETRY_DELAY_S, MAX_RETRY_DELAY_S))
         self._tracer.begin_waits((task,))
-        self.queue.put((task,))
+        # A task of a peer must not be moved on, and its queue no longer knows that it is one.
+        self.queue.accept((task,))
 
     def _deliver(self, task: Task, outcome: Outcome) -> None:
         self._outcomes[type(outcome)].inc()
--- a/packages/daemon/src/fireflybridge_daemon/_submissions.py
+++ b/packages/daemon/src/fireflybridge_daemon/_submissions.py
@@ -164,9 +164,8 @@
                 return job.answer or Pending()
             case Claiming():
                 return Pending()
-            case Given():
-                return Refused(Problem.UNKNOWN_KEY, Ran.NOT_RUN, "no attempt was started")
-            case None:
+            case Given() | None:
+                # An attempt that was given up here says nothing of the key's executor.
                 return None
 
     async def cancel(self, key: str) -> Answer:
@@ -190,7 +189,7 @@
 
     def deliver(self, task: Task, outcome: Outcome) -> bool:
         """Store a task's outcome; return False when no open job here waits for it."""
-        return self._book.deliver(task.id, outcome)
+        return self._book.deliver(task.id, self._judge(task, outcome))
 
     def is_wanted(self, task: Task) -> bool:
         """Tell whether a local task still waits for its outcome."""
@@ -380,16 +379,22 @@
         runner = self._catalogue.find_runner(job.pool)
         if runner is not None:
             for task in runner.queue.cancel(key):
-                job.deliver(task.id.index, NotRun(Cause.CANCELLED))
+                self.deliver(task, NotRun(Cause.CANCELLED))
         self._forwarder.cancel(key)
 
     def _close_job(self, job: Job, cause: Cause) -> None:
         key = job.tasks[0].id.key
         runner = self._catalogue.find_runner(job.pool)
         queued: tuple[Task, ...] = runner.queue.cancel(key) if runner else ()
-        job.close((task.id for task in queued), cause)
+        for task in queued:
+            self.deliver(task, NotRun(cause))
+        job.close()
         self._forwarder.cancel(key)
 
+    def _judge(self, task: Task, outcome: Outcome) -> Outcome:
+        runner = self._catalogue.find_runner(task.pool)
+        return outcome if runner is None else runner.judge(task, outcome)
+
     def _observe(self, job: Job) -> None:
         elapsed_s = self._clock() - job.accepted
         state = type(job.answer).__name__.lower()
--- /dev/null
+++ b/standins/src/fireflybridge_standins/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Replays recorded traces against daemons and against baseline dispatchers."""
