Receive before asking h11 for the response

Cause: h11 was asked for an event before any byte had arrived, and its header sequence was read through a generic iterator. Change: receive first; read the raw items.

--- a/packages/upstream/src/fireflybridge_upstream/_connection.py
+++ b/packages/upstream/src/fireflybridge_upstream/_connection.py
@@ -123,6 +123,8 @@
         head: h11.Response | None = None
         chunks: list[bytes] = []
         size = 0
+        # The connection is drained between requests, so there is nothing to parse before this.
+        self._http.receive_data(await _receive_some(stream))
         while True:
             match self._http.next_event():
                 case h11.NEED_DATA:
@@ -158,7 +160,7 @@
 
 
 def _assemble(head: h11.Response, body: bytes) -> Response:
-    headers = dict(head.headers)
+    headers = {name.lower(): value for name, value in head.headers.raw_items()}
     content_type = headers.get(b"content-type", b"application/octet-stream").decode("latin-1")
     return Response(head.status_code, content_type, b"retry-after" in headers, body)
 
