Check submissions against the workers' start records

Resubmissions, worker faults, log faults, a killed executor and waves of cancellation run over real processes; every scenario ends with a comparison of all answers with all recorded starts.

--- /dev/null
+++ b/features/steps/submissions.py
@@ -0,0 +1,270 @@
+"""Steps that submit, resubmit and cancel jobs at a whole deployment."""
+
+import random
+import time
+from collections import Counter
+from itertools import count
+
+from behave import given, then, when
+from behave.runner import Context
+from support.checks import Call, Ledger, Request, read_starts
+from support.deployment import Deployment, Plan
+from support.processes import wait_until
+
+NUMBERS = count(1)
+SEED = 20_403
+DAEMONS = ("d1", "d2", "d3")
+
+
+@given("a checked deployment of {daemons:d} daemons")
+def start_deployment(context: Context, daemons: int) -> None:
+    context.deployment = Deployment(context.processes, Plan(daemons=daemons, proxied=True))
+    context.deployment.start()
+    context.ledger = Ledger(context.deployment)
+    context.add_cleanup(context.ledger.close)
+
+
+@then("the submissions' answers agree with the start records")
+def check_all(context: Context) -> None:
+    assert context.ledger.check() > 0, "no start was recorded"
+
+
+def make_request(
+    tasks: int = 1, sleep_ms: int = 20, key: str = "", prefix: str = "", **members: object
+) -> Request:
+    """Return a request whose bodies no other request has; by default under a new key."""
+    number = next(NUMBERS)
+    key = key or (f"{prefix}.{number}" if prefix else f"key-{number}")
+    bodies = tuple(f"sleep={sleep_ms};{number}/{index}" for index in range(tasks))
+    return Request(key, bodies, **members)  # type: ignore[arg-type]
+
+
+def wait_started(context: Context, request: Request) -> None:
+    """Wait until a worker has recorded a start of the request."""
+    wait_until(
+        lambda: any(start.key == request.key for start in read_starts(context.deployment)),
+        detail=f"start of {request.key}",
+    )
+
+
+def expect(call: Call, **members: object) -> Call:
+    """Check members of an answer, such as ``state`` or ``problem``."""
+    found = {name: getattr(call, name) for name in members}
+    assert found == members, f"expected {members}: {call}"
+    return call
+
+
+def repeat_everywhere(context: Context, request: Request, first: str) -> None:
+    """Submit, repeat at every daemon while in flight and after, and compare the answers."""
+    ledger: Ledger = context.ledger
+    answers = [ledger.send(first, request)]
+    wait_started(context, request)
+    answers += [ledger.send(name, request) for name in DAEMONS]
+    whole = [expect(answer.result(), state="complete").entries for answer in answers]
+    whole += [expect(ledger.ask(name, request), state="complete").entries for name in DAEMONS]
+    whole += [ledger.ask(name, request, "GET").entries for name in DAEMONS]
+    assert len(set(whole)) == 1, whole
+
+
+@when("submissions with chosen keys are repeated at every daemon while in flight and after")
+def repeat_chosen(context: Context) -> None:
+    for first in DAEMONS:
+        repeat_everywhere(context, make_request(6, 300), first)
+
+
+@when("submissions with prefixed keys are repeated at every daemon while in flight and after")
+def repeat_prefixed(context: Context) -> None:
+    prefix = context.deployment.make_prefix("d1")
+    for first in DAEMONS:
+        repeat_everywhere(context, make_request(6, 300, prefix=prefix), first)
+
+
+@when("chosen keys are first sent to every daemon at once")
+def race_chosen(context: Context) -> None:
+    requests = [make_request(3) for _ in range(10)]
+    answers = [context.ledger.send(name, one) for one in requests for name in DAEMONS]
+    for answer in answers:
+        expect(answer.result(), state="complete")
+
+
+@when("keys are repeated with other content")
+def repeat_with_other_content(context: Context) -> None:
+    for prefix in ("", context.deployment.make_prefix("d2")):
+        first = make_request(2, prefix=prefix)
+        expect(context.ledger.ask("d1", first), state="complete")
+        for name in DAEMONS:
+            # Unnamed in the ledger's checks: its bodies are not those that run.
+            other = Request(first.key, first.bodies[:1])
+            expect(context.ledger.ask(name, other), problem="conflict", status=422)
+
+
+@then(
+    "the submissions' log refusing leaves prefixed keys running "
+    "and refuses chosen ones truthfully"
+)
+def refuse_log(context: Context) -> None:
+    ledger: Ledger = context.ledger
+    prefix = context.deployment.make_prefix("d3")
+    ran = make_request(2)
+    expect(ledger.ask("d1", ran), state="complete")
+    context.deployment.set_platform_fault(mode="refuse")
+    refused = make_request(2)
+    expect(ledger.ask("d1", refused), problem="log-unavailable", status=503)
+    expect(ledger.ask("d1", ran), state="complete")
+    for name in ("d2", "d3"):
+        answer = ledger.ask(name, ran)
+        assert answer.state == "complete" or answer.ran == "may-have-run", answer
+        assert ledger.ask(name, ran, "GET").ran in ("done", "may-have-run")
+    for name in DAEMONS:
+        expect(ledger.ask(name, make_request(2, prefix=prefix)), state="complete")
+        expect(ledger.ask(name, Request("", ("unkeyed",), single=True)), state="complete")
+    context.deployment.set_platform_fault(mode="none")
+    for name in ("d2", "d1", "d3"):
+        expect(ledger.ask(name, refused), state="complete")
+
+
+@then("a lost append answer delays a submission but starts it once")
+def lose_append_answer(context: Context) -> None:
+    for name in DAEMONS:
+        context.deployment.set_platform_fault(mode="lose_answers", count=1)
+        request = make_request(2)
+        first = context.ledger.ask(name, request)
+        assert first.state == "complete" or first.problem == "log-unavailable", first
+        context.deployment.set_platform_fault(mode="none")
+        for other in DAEMONS:
+            expect(context.ledger.ask(other, request), state="complete")
+
+
+@then("submissions whose executor is killed are answered as possibly run")
+def kill_executor(context: Context) -> None:
+    ledger: Ledger = context.ledger
+    prefix = context.deployment.make_prefix("d1")
+    finished = [make_request(2), make_request(2, prefix=prefix)]
+    for request in finished:
+        expect(ledger.ask("d1", request), state="complete")
+    running = [make_request(2, 3000), make_request(2, 3000, prefix=prefix)]
+    for request in running:
+        ledger.send("d1", request)
+        wait_started(context, request)
+    ledger.killed.add("d1")
+    context.deployment.daemons["d1"].kill()
+    context.deployment.daemons["d1"].wait_exit()
+    for request in finished + running:
+        for name in ("d2", "d3"):
+            expect(ledger.ask(name, request), ran="may-have-run")
+            expect(ledger.ask(name, request, "GET"), ran="may-have-run")
+
+
+def complete_jobs(context: Context, route: str) -> None:
+    """Run jobs at both daemons and see all of them complete."""
+    answers = [
+        context.ledger.send(name, make_request(10, route=route))
+        for name in ("d1", "d2")
+        for _ in range(4)
+    ]
+    for answer in answers:
+        expect(answer.result(), state="complete")
+
+
+@then("submissions complete while one worker refuses connections")
+def refuse_connections(context: Context) -> None:
+    link = "worker-worker-0"
+    context.deployment.proxy.set_faults(link, faults=[{"kind": "refuse"}])
+    context.deployment.proxy.reset(link)
+    complete_jobs(context, "payment")
+    complete_jobs(context, "booking")
+    context.deployment.proxy.clear_faults(link)
+
+
+@then("submissions complete while one worker's guard refuses")
+def refuse_by_guard(context: Context) -> None:
+    context.deployment.set_worker_fault("refuse", "worker-1")
+    complete_jobs(context, "payment")
+    context.deployment.set_worker_fault("none")
+
+
+@then("submissions that workers reset, truncate or fail are sent once")
+def break_once(context: Context) -> None:
+    for fault in ("reset", "truncate", "fail"):
+        context.deployment.set_worker_fault(fault)
+        jobs = [make_request(4, deadline_ms=3000), make_request(4, route="payment")]
+        singles = [make_request(route="payment", single=True) for _ in range(4)]
+        answers = [context.ledger.send("d1", one) for one in jobs + singles]
+        for answer in answers:
+            call = answer.result()
+            assert call.state != "complete", call
+            ran = {entry.ran for entry in call.entries} or {call.ran}
+            assert ran <= ({"done"} if fault == "fail" else {"may-have-run", "not-run"}), call
+        context.deployment.set_worker_fault("none")
+        recover(context)
+
+
+def recover(context: Context) -> None:
+    """Wait until a job completes again after the ejection of failing workers."""
+    wait_until(
+        lambda: context.ledger.ask("d1", make_request(8)).state == "complete",
+        detail="a job completes after the workers recovered",
+    )
+
+
+@then("idempotent single submissions are retried when workers reset or fail")
+def retry_idempotent(context: Context) -> None:
+    for fault in ("reset", "fail"):
+        context.deployment.set_worker_fault(fault, "worker-0", "worker-1")
+        wait_until(lambda: retry_one(context), detail="a retry led to an answer")
+        context.deployment.set_worker_fault("none")
+        recover(context)
+
+
+def retry_one(context: Context) -> bool:
+    """Send single requests; return whether one of them was started twice and answered."""
+    calls = [context.ledger.send("d1", make_request(single=True)) for _ in range(24)]
+    answered = {call.result().request.key for call in calls if call.result().status == 200}
+    starts = Counter(start.key for start in read_starts(context.deployment))
+    return any(starts[key] > 1 for key in answered)
+
+
+@then("retried submissions that end at their deadline are never called not run")
+def retry_until_deadline(context: Context) -> None:
+    ledger: Ledger = context.ledger
+    context.deployment.set_worker_fault("reset")
+    single = make_request(1, 400, single=True, deadline_ms=1500)
+    answer = ledger.send("d1", single)
+    wait_started(context, single)
+    # The retry finds every slot taken until after its deadline.
+    others = [ledger.send("d1", make_request(20, 2500, route="payment")) for _ in range(2)]
+    expect(answer.result(), ran="may-have-run")
+    for other in others:
+        other.result()
+    context.deployment.set_worker_fault("none")
+    recover(context)
+
+
+@then("submissions that hang end at their deadline as possibly run")
+def hang(context: Context) -> None:
+    context.deployment.set_worker_fault("hang")
+    requests = [make_request(2, route="payment", deadline_ms=1000) for _ in range(3)]
+    for answer in [context.ledger.send("d1", one) for one in requests]:
+        expect(answer.result(), state="failed")
+
+
+@when("waves of submissions are cancelled at random moments")
+def cancel_waves(context: Context) -> None:
+    generator = random.Random(SEED)
+    for _ in range(3):
+        requests = [make_request(10, 200) for _ in range(15)]
+        entries = [generator.choice(DAEMONS) for _ in requests]
+        pairs = list(zip(entries, requests, strict=True))
+        calls = [context.ledger.send(name, one) for name, one in pairs]
+        wait_started(context, requests[0])
+        for name, one in generator.sample(pairs, len(pairs)):
+            context.ledger.send(name, one, "DELETE")
+            time.sleep(generator.uniform(0.0, 0.03))
+        for call in calls:
+            call.result()
+
+
+@then("some cancelled submissions have tasks that never ran")
+def check_cancelled(context: Context) -> None:
+    found = {entry.ran for call in context.ledger.calls for entry in call.entries}
+    assert found >= {"not-run", "done"}, found
