--- a/features/peers.feature
+++ b/features/peers.feature
@@ -88,6 +88,10 @@
       |       | 10.0.0.1:80 | without a key               |
       | short | 127.0.0.1:0 | fewer than 16 bytes         |
 
+  Scenario: An address that is in use is named in the error
+    Given peer endpoints "a" and "b"
+    Then a peer endpoint that listens on the address of "a" fails with "peer links cannot listen on"
+
   Scenario: Recorded frames are refused when they are sent again, changed or sent elsewhere
     Given peer endpoints "a" and "b"
     And a peer endpoint "c" with key "the shared key of daemons"
@@ -122,3 +126,6 @@
 
   Scenario: Time at the sender is taken off remaining times
     Then a peer message that waited 2.5 s has 2.5 s less remaining time
+
+  Scenario: Sessions are bounded, and repeated greetings do not push out one that is in use
+    Then 2000 peer sessions keep at most 1024, and one that is in use stays
--- a/features/steps/peers.py
+++ b/features/steps/peers.py
@@ -277,6 +277,16 @@
     assert message in found, found
 
 
+@then(
+    'a peer endpoint that listens on the address of "{name:Quoted}" fails with "{message:Quoted}"'
+)
+def check_address_in_use(context: Context, name: str, message: str) -> None:
+    address = context.peers[name].address
+    second = context.processes.spawn(PROBE, "--name", "x", "--key", KEY, "--listen", address)
+    assert second.wait_exit() != 0
+    assert f"{message} {address}" in second.read_stderr(), second.read_stderr()
+
+
 def exchange_frame(address: str, frame: bytes) -> bytes:
     with pynng.Req0(dial=f"tcp://{address}", recv_timeout=REPLY_LIMIT_MS) as socket:
         socket.send(frame)
--- a/features/steps/peers_codec.py
+++ b/features/steps/peers_codec.py
@@ -24,6 +24,8 @@
     encode_batch,
     encode_message,
 )
+from fireflybridge_peers._codec import Hello
+from fireflybridge_peers._sessions import Sessions
 
 PRIMITIVES: dict[Any, st.SearchStrategy[Any]] = {
     int: st.integers(0, 2**63 - 1),
@@ -111,3 +113,16 @@
     assert isinstance(fetch, Fetch)
     assert accept_task(assign.tasks[0], now=5.0).deadline == 5.0 + 10.0 - less_s
     assert fetch.submission.deadline_s == 10.0 - less_s
+
+
+@then("{count:d} peer sessions keep at most {limit:d}, and one that is in use stays")
+def check_sessions(context: Context, count: int, limit: int) -> None:
+    sessions = Sessions(limit)
+    used = sessions.open(Hello("p", "1", 0))
+    sessions.advance(used, 1)
+    for link in range(1, count):
+        session = sessions.open(Hello("p", "1", link))
+        assert sessions.open(Hello("p", "1", link)) == session, "a repeated hello opened another"
+        assert sessions.find(session.id) == session
+        assert len(sessions) <= limit
+    assert sessions.find(used.id) is not None
--- a/packages/membership/src/fireflybridge_membership/_membership.py
+++ b/packages/membership/src/fireflybridge_membership/_membership.py
@@ -21,6 +21,7 @@
     find_registrar,
     is_leaving,
     list_shards,
+    name_shard,
 )
 from fireflybridge_membership._tenures import Tenures
 
@@ -177,7 +178,9 @@
 
     def find_registrar(self, shard: int, now: float) -> str | None:
         """Return the name of the daemon that registers the claims of a shard."""
-        return find_registrar(shard, self.view(now).candidates)
+        # A claim asks for this; the owner that the last change of the view gave costs no hashing.
+        known = self._shards.find_owner(name_shard(shard))
+        return known or find_registrar(shard, self.view(now).candidates)
 
     def find_next_start(self, now: float) -> float | None:
         """Return when this daemon may start to use the next resource, if one is waiting."""
--- a/packages/membership/src/fireflybridge_membership/_tenures.py
+++ b/packages/membership/src/fireflybridge_membership/_tenures.py
@@ -33,6 +33,11 @@
             resource: self._follow(resource, view, heard, now) for resource in resources
         }
 
+    def find_owner(self, resource: Resource) -> str | None:
+        """Return the owner of a resource, or none when it is not followed."""
+        tenure = self._tenures.get(resource)
+        return None if tenure is None else tenure.owner
+
     def list_started(self, name: str, now: float) -> tuple[Resource, ...]:
         """Return the resources that the named daemon owns and may use."""
         return tuple(
--- a/packages/peers/src/fireflybridge_peers/_link.py
+++ b/packages/peers/src/fireflybridge_peers/_link.py
@@ -31,7 +31,6 @@
 from fireflybridge_peers._heartbeats import HeartbeatTimes
 from fireflybridge_peers._messages import Message
 from fireflybridge_peers._outbox import (
-    MAX_BATCH_MESSAGES,
     Outbox,
     PeerStalled,
     QueuedMessage,
@@ -43,9 +42,10 @@
 # A request that is not acknowledged is sent again on a new connection, in case the peer's host went
 # without closing the old one. The first attempt covers a lost acknowledgement well before the peer
 # counts as lost; attempts double, since an acknowledgement that takes longer than an attempt is not
-# recognized.
+# recognized. A new connection also starts the kernel's retries of a connect from the shortest
+# interval, so the limit keeps a link from idling long after a partition has healed.
 FIRST_ATTEMPT_S = 1.0
-MAX_ATTEMPT_S = 16.0
+MAX_ATTEMPT_S = 4.0
 # Queued messages are given back after the time after which a silent peer counts as lost: their
 # tasks still have a chance elsewhere.
 STALLED_AFTER_S = 3.0
@@ -151,14 +151,16 @@
                 await self._callbacks.handle(self.peer, self._incarnation, accepted.heartbeat)
 
     async def _wait_until_due(self) -> None:
+        if self._outbox:
+            # These messages were coalesced while the previous exchange lasted.
+            return
         while not self._outbox:
             self._queued = anyio.Event()
             with anyio.move_on_after(self._times.find_due(self.peer) - time.monotonic()) as wait:
                 await self._queued.wait()
             if wait.cancelled_caught and self._times.find_due(self.peer) <= time.monotonic():
                 return
-        if len(self._outbox) < MAX_BATCH_MESSAGES:
-            await anyio.sleep(self._settings.coalesce_s)
+        await anyio.sleep(self._settings.coalesce_s)
 
     async def _exchange_batch(self, session: bytes, sequence: int) -> Accepted | None:
         while True:
--- a/packages/peers/src/fireflybridge_peers/_links.py
+++ b/packages/peers/src/fireflybridge_peers/_links.py
@@ -36,7 +36,10 @@
         self._tasks: TaskGroup | None = None
 
     async def run(self, *, task_status: TaskStatus[str] = anyio.TASK_STATUS_IGNORED) -> None:
-        """Serve the listener and the links until cancelled; report the listener's ``ip:port``."""
+        """Serve the listener and the links until cancelled; report the listener's ``ip:port``.
+
+        Raise ``OSError`` when the address cannot be listened on.
+        """
         sender, inbox = anyio.create_memory_object_stream[Delivery](MAX_INBOX_BATCHES)
         receiver = Receiver(self._settings, self._callbacks, self._times, sender)
         with listen_to_peers(self._settings.listen) as socket, sender, inbox:
--- a/packages/peers/src/fireflybridge_peers/_sockets.py
+++ b/packages/peers/src/fireflybridge_peers/_sockets.py
@@ -28,8 +28,11 @@
 
 
 def listen_to_peers(address: str) -> pynng.Rep0:
-    """Return a replying socket that listens on ``ip:port``."""
-    return pynng.Rep0(listen=f"tcp://{address}", recv_max_size=MAX_FRAME_BYTES)
+    """Return a replying socket that listens on ``ip:port``, or raise ``OSError``."""
+    try:
+        return pynng.Rep0(listen=f"tcp://{address}", recv_max_size=MAX_FRAME_BYTES)
+    except pynng.NNGException as error:
+        raise OSError(f"peer links cannot listen on {address}: {error}") from error
 
 
 async def exchange_frames(socket: pynng.Req0, frame: bytes) -> bytes:
