Encode the head of a job's requests once

Cause: h11 validated and encoded the same texts for each of a job's tasks; that was the largest cost of a start. An encoding error, for example a key that starts with a space, also ended the slot task and with it the daemon. Change: h11 encodes each distinct text once and numbers are put in; the state of the exchange stays with h11. A task that can't be encoded ends as not run.

--- a/packages/upstream/src/fireflybridge_upstream/_connection.py
+++ b/packages/upstream/src/fireflybridge_upstream/_connection.py
@@ -9,6 +9,7 @@
 from anyio.abc import SocketAttribute, SocketStream
 
 from fireflybridge_core import Cause, Done, MayHaveRun, NotRun, Outcome, Task
+from fireflybridge_upstream._requests import BODILESS_REQUEST, encode_request
 
 CONNECT_TIMEOUT_S = 1.0
 RECEIVE_BYTES = 65536
@@ -60,14 +61,19 @@
         limit_s = min(task.timeout_s, task.deadline - time.monotonic())
         if limit_s <= 0:
             return NotRun(Cause.DEADLINE_PASSED, self._name)
-        return await self._exchange_on(connected, task, limit_s)
+        try:
+            request = self._encode(task, limit_s)
+        except h11.LocalProtocolError:
+            # A text that no header may hold can't be sent to any upstream.
+            return NotRun(Cause.ATTEMPTS_EXHAUSTED, self._name)
+        return await self._exchange_on(connected, request, limit_s)
 
-    async def _exchange_on(self, stream: SocketStream, task: Task, limit_s: float) -> Outcome:
+    async def _exchange_on(self, stream: SocketStream, request: bytes, limit_s: float) -> Outcome:
         started = time.monotonic()
         finished = False
         try:
             with anyio.move_on_after(limit_s):
-                await stream.send(self._encode(task, limit_s))
+                await stream.send(request)
                 response = await self._receive(stream)
                 finished = True
                 return self._judge(response, time.monotonic() - started)
@@ -105,19 +111,11 @@
         return self._stream
 
     def _encode(self, task: Task, limit_s: float) -> bytes:
-        headers = [
-            (b"Host", self._authority),
-            (b"Content-Type", task.content_type.encode()),
-            (b"Content-Length", b"%d" % len(task.body)),
-            (b"Fireflybridge-Timeout-Ms", b"%d" % (limit_s * 1000)),
-        ]
-        if task.id.key:
-            headers.append((b"Idempotency-Key", str(task.id).encode()))
-        if task.traceparent:
-            headers.append((b"Traceparent", task.traceparent.encode()))
-        request = h11.Request(method=b"POST", target=task.path.encode(), headers=headers)
-        parts = (request, h11.Data(data=task.body), h11.EndOfMessage())
-        return b"".join(self._http.send(part) or b"" for part in parts)
+        request = encode_request(self._authority, task, limit_s)
+        # h11 only follows the state of the exchange here, so these bytes are not sent.
+        for event in BODILESS_REQUEST:
+            self._http.send(event)
+        return request
 
     async def _receive(self, stream: SocketStream) -> Response:
         head: h11.Response | None = None
