Take ratios within each round of the path's measurement

Cause: the machine's speed changes between rounds, so medians of two versions compare different moments. Change: each round's ratio to the first tree.

--- a/standins/src/fireflybridge_standins/capacity/path.py
+++ b/standins/src/fireflybridge_standins/capacity/path.py
@@ -60,9 +60,7 @@
     costs = [*measure_rounds(arguments.tree, arguments.size, arguments.rounds, arguments.tasks)]
     for tree in arguments.tree:
         for size in arguments.size:
-            print(
-                json.dumps(summarize(tree, [c for c in costs if (c.tree, c.size) == (tree, size)]))
-            )
+            print(json.dumps(summarize(tree, size, costs)))
     return 0
 
 
@@ -98,13 +96,18 @@
                     yield cost
 
 
-def summarize(tree: str, costs: list[PathCost]) -> dict[str, object]:
-    """Return the medians of the rounds, with the ratio to the bare stream and the spread."""
+def summarize(tree: str, size: int, everything: list[PathCost]) -> dict[str, object]:
+    """Return the medians of the rounds, with ratios taken within each round."""
+    costs = [cost for cost in everything if (cost.tree, cost.size) == (tree, size)]
+    first = [c for c in everything if (c.tree, c.size) == (everything[0].tree, size)]
     cpu_us = [cost.cpu_us_per_start for cost in costs]
+    ratios = [c.cpu_us_per_start / f.cpu_us_per_start for c, f in zip(costs, first, strict=True)]
     return {
         "tree": tree,
-        "size": costs[0].size,
+        "size": size,
+        "ratio_to_first": round(statistics.median(ratios), 3),
         "cpu_us_per_start": round(statistics.median(cpu_us), 1),
+        "least_us": round(min(cpu_us), 1),
         "spread_us": round(max(cpu_us) - min(cpu_us), 1),
         "echo_us": round(statistics.median(cost.echo_us for cost in costs), 1),
         "ratio_to_echo": round(
