--- a/standins/src/fireflybridge_standins/capacity/_deployment.py
+++ b/standins/src/fireflybridge_standins/capacity/_deployment.py
@@ -76,14 +76,14 @@
         self._list_hosts()
         self.wait_serving()
 
-    def make_tables(self, spare_routes: int = 0) -> Tables:
-        """Return tables of the scale, with some more routes."""
+    def make_tables(self, spare_routes: int = 0, teams: int = 0) -> Tables:
+        """Return tables of the scale, with some more routes and other quotas."""
         addresses = [at for worker in self.workers for at in worker.ready["workers"].items()]
         upstreams = tuple(
             Upstream(name, address, self.scale.slots, 64, f"domain-{index % DOMAINS}")
             for index, (name, address) in enumerate(addresses)
         )
-        quotas = tuple(Quota(f"team-{index}") for index in range(self.scale.teams))
+        quotas = tuple(Quota(f"team-{index}") for index in range(teams or self.scale.teams))
         names = [ROUTE, *(f"route-{n}" for n in range(1, self.scale.routes + spare_routes))]
         routes = {name: Route(name, POOL, True, WINDOW_MS, WINDOW_MS // 2, 1) for name in names}
         return Tables(routes, {POOL: Pool(POOL, upstreams, True, quotas)})
--- /dev/null
+++ b/standins/src/fireflybridge_standins/capacity/_points.py
@@ -0,0 +1,75 @@
+"""Measured points and the lines through them."""
+
+import statistics
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Point:
+    """Hold the cost of one daemon at one value of an axis, as the mean over the daemons.
+
+    ``bytes_per_s`` is TCP payload in both directions; ``own_mb`` is resident memory without that
+    of an interpreter that has only imported the daemon; ``in_force_s`` is the longest time from
+    publish until the last daemon has the tables, over ``publications``.
+    """
+
+    axis: str
+    value: float
+    starts_per_s: float = 0.0
+    cpu_percent: float = 0.0
+    resident_mb: float = 0.0
+    own_mb: float = 0.0
+    bytes_per_s: float = 0.0
+    platform_cpu_percent: float = 0.0
+    platform_bytes_per_s: float = 0.0
+    appends_per_s: float = 0.0
+    in_force_s: float = 0.0
+    publications: int = 0
+    refused: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Line:
+    """Hold a least-squares line; ``spread`` is the largest distance of a point from it."""
+
+    axis: str
+    quantity: str
+    loaded: bool
+    slope: float
+    intercept: float
+    spread: float
+    points: int
+
+
+QUANTITIES = (
+    "cpu_percent",
+    "own_mb",
+    "bytes_per_s",
+    "platform_cpu_percent",
+    "platform_bytes_per_s",
+    "in_force_s",
+)
+
+
+def fit_lines(points: Sequence[Point]) -> tuple[Line, ...]:
+    """Return the line of each quantity over each axis, idle and under load apart."""
+    groups: dict[tuple[str, bool], list[Point]] = {}
+    for point in points:
+        groups.setdefault((point.axis, point.starts_per_s > 0), []).append(point)
+    return tuple(
+        fit_line(chosen, axis, quantity, loaded)
+        for (axis, loaded), chosen in groups.items()
+        if len({point.value for point in chosen}) > 1
+        for quantity in QUANTITIES
+        if any(getattr(point, quantity) for point in chosen)
+    )
+
+
+def fit_line(points: Sequence[Point], axis: str, quantity: str, loaded: bool) -> Line:
+    """Return the least-squares line of one quantity."""
+    xs = [point.value for point in points]
+    ys = [float(getattr(point, quantity)) for point in points]
+    slope, intercept = statistics.linear_regression(xs, ys)
+    spread = max(abs(y - (intercept + slope * x)) for x, y in zip(xs, ys, strict=True))
+    return Line(axis, quantity, loaded, slope, intercept, spread, len(points))
--- a/standins/src/fireflybridge_standins/capacity/path.py
+++ b/standins/src/fireflybridge_standins/capacity/path.py
@@ -122,9 +122,13 @@
     }
 
 
+def list_sources(tree: str) -> str:
+    """Return the search path that takes every library from one checkout."""
+    return ":".join(map(str, sorted(Path(tree, "packages").glob("*/src"))))
+
+
 def _deploy(programs: Programs, tree: str) -> Deployment:
-    packages = sorted(Path(tree, "packages").glob("*/src"))
-    environment = {"PYTHONPATH": ":".join(map(str, packages))}
+    environment = {"PYTHONPATH": list_sources(tree)}
     scale = Scale(workers=WORKERS, worker_processes=WORKER_PROCESSES)
     return Deployment(programs, scale, (environment,))
 
