Answer forwarded and claiming callers truthfully at death and shutdown

Two faults seen with the workers' start records. A submission first sent to a daemon that handed it to the key's issuer was answered "request_ran: not-run" when the issuer died, although it had started; it is now a failed answer whose tasks may have run. A caller whose claim was in flight at the second SIGTERM got status 500: the claim was granted after the cut and its job started, or the caller was cut off with it. Such waits are now part of the drain and end with it.

features/recovery.feature covers shutdown, rolling replacement, kills, a pause and partitions.

--- /dev/null
+++ b/features/recovery.feature
@@ -0,0 +1,38 @@
+Feature: Answers stay whole and truthful while daemons stop, die, pause or lose each other
+  Every scenario ends with a check of all answers against the workers' own start records.
+
+  Scenario: SIGTERM under load answers every accepted request
+    Given a checked deployment of 2 daemons
+    When recovery load runs at every daemon
+    And recovery sends SIGTERM to d1 under load that outlasts the drain delay
+    Then recovery sees d1 exit with code 0 and every accepted request answered
+    When recovery starts d1 again
+    And recovery sends SIGTERM twice to d1 while long work runs
+    Then recovery sees d1 exit with code 0 and every caller answered
+    And the submissions' answers agree with the start records
+
+  Scenario: Rolling replacement of three daemons fails no request
+    Given a checked deployment of 3 daemons
+    When recovery replaces every daemon while callers retry only what did not run
+    Then recovery sees that no caller's request failed
+    And the submissions' answers agree with the start records
+
+  Scenario: The death of an entry daemon or of a pulling daemon starts nothing twice
+    Given a checked deployment of 3 daemons
+    When recovery kills d2 while it runs tasks pulled from d1
+    Then recovery sees every caller of d1 answered and resubmissions agreeing
+    When recovery kills the entry daemon d1 under load
+    Then recovery sees resubmissions to d3 refused as possibly run
+    And the submissions' answers agree with the start records
+
+  Scenario: A paused daemon starts nothing twice after it resumes
+    Given a checked deployment of 3 daemons
+    When recovery pauses d2 for 4 s while it runs work
+    Then the submissions' answers agree with the start records
+
+  Scenario: Partitions keep prefixed keys and unkeyed requests running
+    Given a checked deployment of 3 daemons
+    When recovery cuts each pair of daemons in turn under load
+    And recovery cuts each daemon from the platform under load
+    And recovery cuts d2 from the platform and from every daemon
+    Then the submissions' answers agree with the start records
--- /dev/null
+++ b/features/steps/recovery.py
@@ -0,0 +1,303 @@
+"""Steps that stop, kill, pause and cut off daemons under load."""
+
+import threading
+import time
+from itertools import combinations
+
+from behave import then, when
+from behave.runner import Context
+from support.checks import Call, Ledger, Request, expect, make_request, make_unkeyed
+from support.processes import wait_until
+
+PAUSE_S = 4.0  # longer than the 3 s after which a silent peer counts as lost
+BALANCER_LAG_S = 0.3
+RETRY_PAUSE_S = 0.05
+CALLERS = 6
+DAEMONS = ("d1", "d2", "d3")
+
+
+def send_mixed(context: Context, name: str, rounds: int, sleep_ms: int = 150) -> list[Request]:
+    """Send chosen, prefixed and unkeyed submissions to a daemon; return those with keys."""
+    ledger: Ledger = context.ledger
+    prefix = context.deployment.make_prefix(name)
+    requests = [
+        request
+        for _ in range(rounds)
+        for request in (
+            make_request(8, sleep_ms),
+            make_request(8, sleep_ms, prefix=prefix, route="payment"),
+            make_request(1, sleep_ms, route="payment", single=True),
+        )
+    ]
+    unkeyed = [make_unkeyed(sleep_ms) for _ in range(rounds)]
+    context.sent = [ledger.send(name, one) for one in requests + unkeyed]
+    return requests
+
+
+def wait_calls(context: Context) -> list[Call]:
+    """Return the answers of the calls that were sent last."""
+    return [call.result() for call in context.sent]
+
+
+@when("recovery load runs at every daemon")
+def send_load(context: Context) -> None:
+    answers = []
+    for name in context.deployment.daemons:
+        requests = send_mixed(context, name, 4)
+        answers += context.sent
+    context.ledger.wait_started(requests[-1])
+    context.sent = answers
+
+
+@when("recovery sends SIGTERM to {name} under load that outlasts the drain delay")
+def terminate(context: Context, name: str) -> None:
+    ledger: Ledger = context.ledger
+    others = [one for one in context.deployment.daemons if one != name]
+    prefix = context.deployment.make_prefix(others[0])
+    # The daemon waits for another one's answer, runs others' tasks and has queued tasks itself.
+    held = [make_request(2, 3500, prefix=prefix), make_request(2, 3500)]
+    context.sent.append(ledger.send(name, held[0]))
+    context.sent.append(ledger.send(others[0], held[1]))
+    for request in held:
+        ledger.wait_started(request)
+    context.sent.append(ledger.send(name, held[1]))
+    busy = [make_request(30, 400, route="payment") for _ in range(2)]
+    context.sent += [ledger.send(one, request) for one in others for request in busy]
+    wait_until(
+        lambda: context.deployment.read_status(name)["tasks_accepted_from_peers"] > 0,
+        detail=f"{name} runs tasks of others",
+    )
+    context.sent += [ledger.send(name, make_request(30, 300)) for _ in range(2)]
+    context.deployment.daemons[name].terminate()
+
+
+@then("recovery sees {name} exit with code 0 and every accepted request answered")
+def check_complete(context: Context, name: str) -> None:
+    for call in wait_calls(context):
+        expect(call, state="complete")
+    assert context.deployment.daemons[name].wait_exit() == 0
+
+
+@when("recovery starts {name} again")
+def restart(context: Context, name: str) -> None:
+    context.deployment.start_daemon(name)
+    context.deployment.wait_serving()
+
+
+@when("recovery sends SIGTERM twice to {name} while long work runs")
+def terminate_twice(context: Context, name: str) -> None:
+    prefix = context.deployment.make_prefix(name)
+    requests = [make_request(2, 2500), make_request(2, 2500, prefix=prefix, route="payment")]
+    context.sent = [context.ledger.send(name, one) for one in requests]
+    requests.append(make_request(2, 2500, prefix=context.deployment.make_prefix("d2")))
+    context.sent.append(context.ledger.send(name, requests[-1]))
+    for request in requests:
+        context.ledger.wait_started(request)
+    # Claims that wait for the log when the shutdown is cut short.
+    context.deployment.set_platform_fault(mode="slow", latency_ms=1000, operations=["append"])
+    kept = context.deployment.read_status(name)["submissions_kept"]
+    late = [make_request(2, 2500) for _ in range(6)]
+    context.sent += [context.ledger.send(name, one) for one in late]
+    wait_until(
+        lambda: context.deployment.read_status(name)["submissions_kept"] == kept + len(late),
+        detail="claims wait for the log",
+    )
+    daemon = context.deployment.daemons[name]
+    daemon.terminate()
+    wait_until(lambda: "drain started" in daemon.read_stderr(), detail="start of the drain")
+    daemon.terminate()
+
+
+@then("recovery sees {name} exit with code 0 and every caller answered")
+def check_answered(context: Context, name: str) -> None:
+    for call in wait_calls(context):
+        assert call.status != 0, call
+    assert context.deployment.daemons[name].wait_exit() == 0
+    context.deployment.set_platform_fault(mode="none")
+
+
+@when("recovery replaces every daemon while callers retry only what did not run")
+def replace_all(context: Context) -> None:
+    stop = threading.Event()
+    context.balanced, context.finals = list(DAEMONS), []
+    callers = [
+        threading.Thread(target=call_until, args=(context, index, stop)) for index in range(CALLERS)
+    ]
+    for caller in callers:
+        caller.start()
+    try:
+        for name in DAEMONS:
+            daemon = context.deployment.daemons[name]
+            daemon.terminate()
+            time.sleep(BALANCER_LAG_S)
+            context.balanced.remove(name)
+            assert daemon.wait_exit() == 0
+            context.deployment.start_daemon(name)
+            context.deployment.wait_serving()
+            context.balanced.append(name)
+    finally:
+        stop.set()
+        for caller in callers:
+            caller.join()
+
+
+def call_until(context: Context, index: int, stop: threading.Event) -> None:
+    """Send one submission after the other, as a caller behind the load balancer."""
+    turn = index
+    while not stop.is_set():
+        turn += 1
+        request = (make_request(4, 50), make_unkeyed(50), make_request(4, 50, route="payment"))[
+            turn % 3
+        ]
+        context.finals.append(call_retrying(context, request, turn))
+
+
+def call_retrying(context: Context, request: Request, turn: int) -> Call:
+    """Send a request, again only after an answer or a refused connection that excludes a run."""
+    while True:
+        names = context.balanced
+        call: Call = context.ledger.ask(names[turn % len(names)], request)
+        unsent = call.status == 0 and "ConnectError" in call.detail
+        if not unsent and call.request_ran != "not-run":
+            return call
+        turn += 1
+        time.sleep(RETRY_PAUSE_S)
+
+
+@then("recovery sees that no caller's request failed")
+def check_finals(context: Context) -> None:
+    failed = [call for call in context.finals if call.state != "complete"]
+    assert not failed, failed
+    assert len(context.finals) > CALLERS, "the callers sent too little"
+
+
+@when("recovery kills d2 while it runs tasks pulled from d1")
+def kill_helper(context: Context) -> None:
+    ledger: Ledger = context.ledger
+    requests = [make_request(30, 300, deadline_ms=5000) for _ in range(3)]
+    context.sent = [ledger.send("d1", one) for one in requests]
+    context.requests = requests
+    wait_until(
+        lambda: context.deployment.read_status("d2")["tasks_accepted_from_peers"] > 0,
+        detail="d2 runs tasks of d1",
+    )
+    kill(context, "d2")
+
+
+def kill(context: Context, name: str) -> None:
+    """Kill a daemon and let the platform's host list say so."""
+    context.ledger.killed.add(name)
+    context.deployment.daemons[name].kill()
+    context.deployment.daemons[name].wait_exit()
+    context.deployment.list_hosts()
+
+
+@then("recovery sees every caller of d1 answered and resubmissions agreeing")
+def check_helper_death(context: Context) -> None:
+    calls = wait_calls(context)
+    for call, request in zip(calls, context.requests, strict=True):
+        assert call.state in ("complete", "failed"), call
+        for name in ("d1", "d3"):
+            again = context.ledger.ask(name, request)
+            assert again.entries == call.entries, (again, call)
+
+
+@when("recovery kills the entry daemon d1 under load")
+def kill_entry(context: Context) -> None:
+    context.requests = send_mixed(context, "d1", 4, 400)
+    for request in context.requests[:3]:
+        context.ledger.wait_started(request)
+    # A first submission that d3 has handed to d1 must not be called "not run" by d3.
+    forwarded = make_request(2, 3000, prefix=context.deployment.make_prefix("d1"))
+    context.sent = [context.ledger.send("d3", forwarded)]
+    context.ledger.wait_started(forwarded)
+    kill(context, "d1")
+    expect(context.sent[0].result(), state="failed", ran="may-have-run")
+
+
+@then("recovery sees resubmissions to d3 refused as possibly run")
+def check_entry_death(context: Context) -> None:
+    for request in context.requests[:3]:
+        expect(context.ledger.ask("d3", request), ran="may-have-run", state="")
+    for request in context.requests[3:]:
+        context.ledger.ask("d3", request)
+
+
+@when("recovery pauses d2 for 4 s while it runs work")
+def pause(context: Context) -> None:
+    ledger: Ledger = context.ledger
+    requests, answers = [], []
+    for name in ("d1", "d3", "d2"):
+        requests = send_mixed(context, name, 4, 300)
+        answers += context.sent
+    ledger.wait_started(requests[0])
+    context.deployment.daemons["d2"].pause()
+    again = [ledger.send("d3", one) for one in requests]
+    time.sleep(PAUSE_S)
+    again += [ledger.send("d1", one) for one in requests]
+    context.deployment.daemons["d2"].resume()
+    for answer in answers + again:
+        answer.result()
+    context.deployment.wait_serving()
+    expect(ledger.ask("d2", make_request(4)), state="complete")
+
+
+def cut(context: Context, *links: str) -> None:
+    """Drop everything on some links in both directions."""
+    context.deployment.proxy.set_faults(*links, faults=[{"kind": "drop"}])
+
+
+def hears(context: Context, name: str, other: str) -> bool:
+    """Return whether a daemon hears another one."""
+    return other in [peer["name"] for peer in context.deployment.read_status(name)["peers"]]
+
+
+def check_unbound(context: Context, names: tuple[str, ...]) -> None:
+    """Check that prefixed keys and unkeyed requests complete at each daemon."""
+    for name in names:
+        requests = send_mixed(context, name, 2, 50)
+        prefixed = [one for one in requests if one.key.startswith("fbp-")]
+        for call in wait_calls(context):
+            if call.request in prefixed or not call.request.key:
+                expect(call, state="complete")
+
+
+@when("recovery cuts each pair of daemons in turn under load")
+def cut_pairs(context: Context) -> None:
+    for one, other in combinations(DAEMONS, 2):
+        answers = []
+        for name in (one, other):
+            send_mixed(context, name, 2, 300)
+            answers += context.sent
+        links = (f"{one}-{other}", f"{other}-{one}")
+        cut(context, *links)
+        wait_until(lambda a=one, b=other: not hears(context, a, b) and not hears(context, b, a))
+        check_unbound(context, (one, other))
+        context.deployment.proxy.clear_faults(*links)
+        for answer in answers:
+            answer.result()
+        context.deployment.wait_serving()
+
+
+@when("recovery cuts each daemon from the platform under load")
+def cut_platform(context: Context) -> None:
+    for name in DAEMONS:
+        cut(context, f"{name}-platform")
+        check_unbound(context, DAEMONS)
+        context.deployment.proxy.clear_faults(f"{name}-platform")
+
+
+@when("recovery cuts d2 from the platform and from every daemon")
+def isolate(context: Context) -> None:
+    ledger: Ledger = context.ledger
+    request = make_request(2)
+    expect(ledger.ask("d1", request), state="complete")
+    links = ("d2-platform", "d1-d2", "d2-d1", "d3-d2", "d2-d3")
+    cut(context, *links)
+    wait_until(lambda: not hears(context, "d2", "d1") and not hears(context, "d2", "d3"))
+    expect(ledger.ask("d2", request), ran="may-have-run")
+    expect(ledger.ask("d2", request, "GET"), ran="may-have-run")
+    check_unbound(context, ("d2",))
+    context.deployment.proxy.clear_faults(*links)
+    context.deployment.wait_serving()
+    expect(ledger.ask("d2", request), state="complete")
--- a/features/steps/submissions.py
+++ b/features/steps/submissions.py
@@ -3,15 +3,13 @@
 import random
 import time
 from collections import Counter
-from itertools import count
 
 from behave import given, then, when
 from behave.runner import Context
-from support.checks import Call, Ledger, Request, read_starts
+from support.checks import Ledger, Request, expect, make_request, make_unkeyed, read_starts
 from support.deployment import Deployment, Plan
 from support.processes import wait_until
 
-NUMBERS = count(1)
 SEED = 20_403
 DAEMONS = ("d1", "d2", "d3")
 
@@ -29,36 +27,11 @@
     assert context.ledger.check() > 0, "no start was recorded"
 
 
-def make_request(
-    tasks: int = 1, sleep_ms: int = 20, key: str = "", prefix: str = "", **members: object
-) -> Request:
-    """Return a request whose bodies no other request has; by default under a new key."""
-    number = next(NUMBERS)
-    key = key or (f"{prefix}.{number}" if prefix else f"key-{number}")
-    bodies = tuple(f"sleep={sleep_ms};{number}/{index}" for index in range(tasks))
-    return Request(key, bodies, **members)  # type: ignore[arg-type]
-
-
-def wait_started(context: Context, request: Request) -> None:
-    """Wait until a worker has recorded a start of the request."""
-    wait_until(
-        lambda: any(start.key == request.key for start in read_starts(context.deployment)),
-        detail=f"start of {request.key}",
-    )
-
-
-def expect(call: Call, **members: object) -> Call:
-    """Check members of an answer, such as ``state`` or ``problem``."""
-    found = {name: getattr(call, name) for name in members}
-    assert found == members, f"expected {members}: {call}"
-    return call
-
-
 def repeat_everywhere(context: Context, request: Request, first: str) -> None:
     """Submit, repeat at every daemon while in flight and after, and compare the answers."""
     ledger: Ledger = context.ledger
     answers = [ledger.send(first, request)]
-    wait_started(context, request)
+    context.ledger.wait_started(request)
     answers += [ledger.send(name, request) for name in DAEMONS]
     whole = [expect(answer.result(), state="complete").entries for answer in answers]
     whole += [expect(ledger.ask(name, request), state="complete").entries for name in DAEMONS]
@@ -117,7 +90,7 @@
         assert ledger.ask(name, ran, "GET").ran in ("done", "may-have-run")
     for name in DAEMONS:
         expect(ledger.ask(name, make_request(2, prefix=prefix)), state="complete")
-        expect(ledger.ask(name, Request("", ("unkeyed",), single=True)), state="complete")
+        expect(ledger.ask(name, make_unkeyed()), state="complete")
     context.deployment.set_platform_fault(mode="none")
     for name in ("d2", "d1", "d3"):
         expect(ledger.ask(name, refused), state="complete")
@@ -145,7 +118,7 @@
     running = [make_request(2, 3000), make_request(2, 3000, prefix=prefix)]
     for request in running:
         ledger.send("d1", request)
-        wait_started(context, request)
+        context.ledger.wait_started(request)
     ledger.killed.add("d1")
     context.deployment.daemons["d1"].kill()
     context.deployment.daemons["d1"].wait_exit()
@@ -230,7 +203,7 @@
     context.deployment.set_worker_fault("reset")
     single = make_request(1, 400, single=True, deadline_ms=1500)
     answer = ledger.send("d1", single)
-    wait_started(context, single)
+    context.ledger.wait_started(single)
     # The retry finds every slot taken until after its deadline.
     others = [ledger.send("d1", make_request(20, 2500, route="payment")) for _ in range(2)]
     expect(answer.result(), ran="may-have-run")
@@ -256,7 +229,7 @@
         entries = [generator.choice(DAEMONS) for _ in requests]
         pairs = list(zip(entries, requests, strict=True))
         calls = [context.ledger.send(name, one) for name, one in pairs]
-        wait_started(context, requests[0])
+        context.ledger.wait_started(requests[0])
         for name, one in generator.sample(pairs, len(pairs)):
             context.ledger.send(name, one, "DELETE")
             time.sleep(generator.uniform(0.0, 0.03))
--- a/features/support/checks.py
+++ b/features/support/checks.py
@@ -5,15 +5,17 @@
 from collections import Counter
 from collections.abc import Iterable, Iterator, Sequence
 from concurrent.futures import Future, ThreadPoolExecutor
-from dataclasses import dataclass, field
-from itertools import groupby
+from dataclasses import dataclass, field, replace
+from itertools import count, groupby
 from typing import Any
 from urllib.parse import quote
 
 import httpx
 
 from support.deployment import Deployment
+from support.processes import wait_until
 
+_NUMBERS = count(1)
 MAX_CALLERS = 64
 CALL_LIMIT_S = 90.0
 NOT_RUN = "not-run"
@@ -71,6 +73,7 @@
     state: str = ""
     entries: tuple[Entry, ...] = ()
     detail: str = ""
+    request_ran: str = ""
 
     def says_not_run(self, index: int) -> bool:
         """Tell whether the answer claims that a task has not run."""
@@ -98,6 +101,13 @@
         """Call and wait for the answer."""
         return self.send(daemon, request, method).result()
 
+    def wait_started(self, request: Request) -> None:
+        """Wait until a worker has recorded a start of a request."""
+        wait_until(
+            lambda: any(start.key == request.key for start in read_starts(self.deployment)),
+            detail=f"start of {request.key}",
+        )
+
     def check(self) -> int:
         """Raise AssertionError on any violation; return how many starts were checked."""
         starts = read_starts(self.deployment)
@@ -124,6 +134,28 @@
         return call
 
 
+def make_request(
+    tasks: int = 1, sleep_ms: int = 20, key: str = "", prefix: str = "", **members: Any
+) -> Request:
+    """Return a request whose bodies no other request has; by default under a new chosen key."""
+    number = next(_NUMBERS)
+    key = key or (f"{prefix}.{number}" if prefix else f"key-{number}")
+    bodies = tuple(f"sleep={sleep_ms};{number}/{index}" for index in range(tasks))
+    return Request(key, bodies, **members)
+
+
+def make_unkeyed(sleep_ms: int = 20) -> Request:
+    """Return a single request without a key."""
+    return replace(make_request(1, sleep_ms, single=True), key="")
+
+
+def expect(call: Call, **members: object) -> Call:
+    """Check members of an answer, such as ``state`` or ``problem``."""
+    found = {name: getattr(call, name) for name in members}
+    assert found == members, f"expected {members}: {call}"
+    return call
+
+
 def make_path(request: Request, method: str) -> str:
     """Return the path of a request, or of its key for GET and DELETE."""
     if method != "POST":
@@ -153,6 +185,7 @@
         state=data.get("state", ""),
         entries=tuple(Entry(t["ran"], t.get("body", "")) for t in data.get("tasks", ())),
         detail=data.get("detail", ""),
+        request_ran=data.get("request_ran", ""),
     )
 
 
@@ -226,6 +259,8 @@
         done = index < len(call.entries) and call.entries[index].ran == DONE
         if done and not any(at <= call.ended for at in times):
             yield f"{name} is done without a start"
+    if times and all(call.state == "" and call.request_ran == NOT_RUN for call in calls):
+        yield f"{name} started although every request says that it did not run"
     if times and all(call.says_not_run(index) for call in calls):
         yield f"{name} started although every answer says not run"
 
--- a/packages/daemon/src/fireflybridge_daemon/_forwarding.py
+++ b/packages/daemon/src/fireflybridge_daemon/_forwarding.py
@@ -2,7 +2,7 @@
 
 import itertools
 from collections.abc import Iterable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import Protocol
 
 import anyio
@@ -11,6 +11,9 @@
 
 from fireflybridge_core import (
     Answer,
+    Cause,
+    Failed,
+    MayHaveRun,
     Problem,
     Ran,
     Refused,
@@ -50,6 +53,16 @@
         """Return the answer of a submission here, ``None`` when it is unknown."""
 
 
+@dataclass(frozen=True, slots=True)
+class Silent:
+    """State that a peer got a question, or may have, and gave no answer."""
+
+
+@dataclass(frozen=True, slots=True)
+class Unsent:
+    """State that a question never left this daemon."""
+
+
 class Forwarding:
     """Own the requests that wait for another daemon's answer."""
 
@@ -71,10 +84,14 @@
         forwarded = replace(submission, traceparent=find_context(span, submission.traceparent))
         answer = await self._ask(peer, forwarded, digest, limit_s)
         self._tracer.end(span, peer=peer, answer=type(answer).__name__)
-        if answer is None:
-            detail = f"daemon {peer} did not answer; the submission may have run"
-            return Refused(Problem.EXECUTOR_UNREACHABLE, Ran.MAY_HAVE_RUN, detail)
-        return answer
+        match answer:
+            case Silent():
+                return fail_unknown(submission, Cause.PEER_LOST, peer)
+            case Unsent():
+                detail = f"daemon {peer} can't be reached; an earlier request may have run"
+                return Refused(Problem.EXECUTOR_UNREACHABLE, Ran.MAY_HAVE_RUN, detail)
+            case _:
+                return answer
 
     async def query(self, key: str, wait_s: float) -> Answer:
         """Return the answer that some other daemon holds for a key."""
@@ -126,7 +143,7 @@
         limit_s = (question.deadline_s or 0.0) + QUERY_WAIT_S
         answer = await self._ask(peer, question, NO_DIGEST, limit_s)
         match answer:
-            case None | Refused(problem=Problem.NOT_FOUND):
+            case Silent() | Unsent() | Refused(problem=Problem.NOT_FOUND):
                 return
             case _:
                 found.append(answer)
@@ -134,16 +151,16 @@
 
     async def _ask(
         self, peer: str, submission: Submission, digest: bytes, limit_s: float
-    ) -> Answer | None:
+    ) -> Answer | Silent | Unsent:
         request_id = next(self._requests)
         waiter = _Waiter(peer)
         self._waiting[request_id] = waiter
         try:
             if isinstance(self._directory.send(peer, Fetch(request_id, digest, submission)), Err):
-                return None
+                return Unsent()
             with anyio.move_on_after(limit_s):
                 await waiter.answered.wait()
-            return waiter.answer
+            return waiter.answer or Silent()
         finally:
             del self._waiting[request_id]
 
@@ -157,6 +174,14 @@
         self.answer: Answer | None = None
 
 
+def fail_unknown(submission: Submission, cause: Cause, peer: str) -> Failed:
+    """Return the answer to a submission that was handed to a peer and has no known outcome.
+
+    It is no refusal: the request itself may have started the tasks.
+    """
+    return Failed(tuple(MayHaveRun(cause, peer) for _ in submission.payloads))
+
+
 async def _find_answer(fetch: Fetch, local: LocalAnswers) -> Answer | None:
     if fetch.digest != NO_DIGEST:
         return await local.submit_forwarded(fetch.submission)
--- a/packages/daemon/src/fireflybridge_daemon/_submissions.py
+++ b/packages/daemon/src/fireflybridge_daemon/_submissions.py
@@ -28,6 +28,7 @@
     RefuseUnavailable,
     Start,
     StartDecision,
+    Unavailable,
     decide_start,
     parse_key,
 )
@@ -44,20 +45,25 @@
     Problem,
     Ran,
     Refused,
+    StepError,
     Submission,
     Task,
     TaskId,
     digest_content,
     hash_key,
 )
+from fireflybridge_daemon._forwarding import fail_unknown
 from fireflybridge_daemon._jobs import Claiming, Given, Job, JobBook, Kept, Running
 from fireflybridge_daemon._pools import PoolRunner
+from fireflybridge_daemon._waits import Waits
 from fireflybridge_dispatch import Refused as NotAdmitted
 from fireflybridge_front import IssuedPrefix
 from fireflybridge_tables import Route
 from fireflybridge_telemetry import Metrics, SpanKind, Tracer
 
 UNKEYED_PREFIX = "fbu-"
+SHUTTING_DOWN = StepError("submissions.claim", "this daemon", "shutting down")
+RETRY_ELSEWHERE_S = 1.0
 LOG_DOWN_HINT = "use a key under a prefix from POST /v1/key-prefixes, which needs no log"
 
 
@@ -134,6 +140,7 @@
         self._attempts = itertools.count(1)
         self._unkeyed = itertools.count(1)
         self._draining = False
+        self._waits = Waits()
 
     async def submit(self, submission: Submission) -> Answer:
         """Accept a submission and return its answer once it has one."""
@@ -205,17 +212,18 @@
 
     async def wait_idle(self) -> None:
         """Wait until every accepted submission has its answer."""
-        while jobs := self._book.find_jobs():
+        while (jobs := self._book.find_jobs()) or self._waits:
+            await self._waits.wait_idle()
             for job in jobs:
                 await job.finished.wait()
             await anyio.lowlevel.checkpoint()
 
     def cut(self) -> int:
-        """End every open job with a truthful answer; return how many there were."""
+        """End every open submission with a truthful answer; return how many there were."""
         jobs = self._book.find_jobs()
         for job in jobs:
             self._close_job(job, Cause.DRAINING)
-        return len(jobs)
+        return len(jobs) + self._waits.cut()
 
     async def _open(self, submission: Submission, *, forwarded: bool) -> Job | Answer:
         """Find or start the job of a submission."""
@@ -258,7 +266,7 @@
             case PrefixedKey(incarnation=self._identity.incarnation) as key:
                 return self._open_prefixed(submission, digest, key)
             case PrefixedKey(incarnation=issuer) if not forwarded:
-                return await self._forwarder.forward(issuer, submission, digest)
+                return await self._forward(issuer, submission, digest)
             case PrefixedKey():
                 return refuse_gone(Problem.ISSUER_GONE, "the daemon that issued the prefix is gone")
             case ChosenKey():
@@ -308,23 +316,32 @@
     async def _claim(
         self, key: str, digest: bytes, attempt: Attempt, abandoned: tuple[Attempt, ...]
     ) -> Decision:
-        """Ask for the claim; a caller that gives up leaves an abandoned attempt behind."""
+        """Ask for the claim; a caller that gives up leaves an abandoned attempt behind.
+
+        A shutdown ends the wait as if the log could not be reached.
+        """
         claiming = Claiming(digest, attempt, abandoned, anyio.Event())
         self._book.note(key, claiming)
         claim = Claim(hash_key(key), digest, self._identity.incarnation, attempt.number)
         try:
-            return await self._claimer.claim(claim)
+            decision = await self._waits.run(self._claimer.claim(claim))
+            return decision or Unavailable(SHUTTING_DOWN, RETRY_ELSEWHERE_S)
         finally:
             # The caller of this method replaces the record before it waits again.
             self._book.note(key, Given(digest, (attempt, *abandoned)))
             claiming.decided.set()
 
+    async def _forward(self, executor: str, submission: Submission, digest: bytes) -> Answer:
+        """Ask the only daemon that may start a submission; a shutdown ends the wait."""
+        answer = await self._waits.run(self._forwarder.forward(executor, submission, digest))
+        return answer or fail_unknown(submission, Cause.DRAINING, executor)
+
     async def _refuse_or_forward(
         self, submission: Submission, digest: bytes, decided: StartDecision, forwarded: bool
     ) -> Answer:
         match decided:
             case AskExecutor(executor=executor) if not forwarded:
-                return await self._forwarder.forward(executor, submission, digest)
+                return await self._forward(executor, submission, digest)
             case RefuseConflict():
                 return refuse_conflict()
             case RefuseUnavailable(error=error, retry_after_s=retry_after_s):
