Hold the flood target with three seeds

Cause: with seed 1 alone the flood moved the others' p99 by 3%, with seeds 2 and 3 by 38% and 23%. Change: the scenario runs seeds 1 to 3 and each must stay within a tenth. Conclusion: the scenario fails and stays tagged known_red.

--- a/features/dispatch.feature
+++ b/features/dispatch.feature
@@ -139,5 +139,5 @@
 
   @known_red
   Scenario: A flood by one team does not move the others
-    When the dispatch probe runs seed 1 with and without a flood
-    Then dispatch p99 of short jobs of the others moves by at most a tenth
+    When the dispatch probe runs seeds 1 to 3 with and without a flood
+    Then dispatch p99 of short jobs of the others moves by at most a tenth with each seed
--- a/features/steps/dispatch_health.py
+++ b/features/steps/dispatch_health.py
@@ -105,9 +105,9 @@
     context.targets = {load: measure_load(seed, load, LENGTH_S)}
 
 
-@when("the dispatch probe runs seed {seed:d} with and without a flood")
-def run_flood(context: Context, seed: int) -> None:
-    context.calm_s, context.flood_s = measure_flood(seed, LENGTH_S)
+@when("the dispatch probe runs seeds {first:d} to {last:d} with and without a flood")
+def run_flood(context: Context, first: int, last: int) -> None:
+    context.floods = {seed: measure_flood(seed, LENGTH_S) for seed in range(first, last + 1)}
 
 
 @then("dispatch goodput at {load:f} is at least {part:f} of the clairvoyant admission's")
@@ -127,6 +127,7 @@
     assert 0 < targets.single_p99_s <= targets.single_bound_s, targets
 
 
-@then("dispatch p99 of short jobs of the others moves by at most a tenth")
+@then("dispatch p99 of short jobs of the others moves by at most a tenth with each seed")
 def check_flood(context: Context) -> None:
-    assert 0 < context.flood_s <= 1.1 * context.calm_s, (context.calm_s, context.flood_s)
+    for calm_s, flood_s in context.floods.values():
+        assert 0 < flood_s <= 1.1 * calm_s, context.floods
