--- a/features/pages.feature
+++ b/features/pages.feature
@@ -9,3 +9,10 @@
     And the page problems lists each problem type with its status
     And the page settings lists each start-up check that the code names
     And every event of the page is written somewhere, with exactly its fields
+
+  Scenario: The examples of the page for callers answer as the page says
+    Given a deployment for the examples of pages
+    Then each example of the page api answers as stated
+
+  Scenario: Links between pages lead somewhere
+    Then each link of a page leads to a file
--- /dev/null
+++ b/features/steps/pages_examples.py
@@ -0,0 +1,69 @@
+"""Steps that run the examples of pages, and follow their links."""
+
+import argparse
+import re
+import shlex
+from pathlib import Path
+
+import httpx
+from behave import given, then
+from behave.runner import Context
+from support.deployment import Deployment, Plan
+
+ROOT = Path(__file__).parents[2]
+DOCS = ROOT / "docs"
+EXAMPLE = re.compile(r"```sh\n(curl .*)\n```\n```\n(\d{3}) (.*)\n```")
+PAGE_ADDRESS = "127.0.0.1:8080"
+FEWEST_EXAMPLES = 9
+
+
+@given("a deployment for the examples of pages")
+def start_deployment(context: Context) -> None:
+    context.deployment = Deployment(context.processes, Plan(daemons=2, workers=1))
+    context.deployment.start()
+
+
+def run_curl(command: str, address: str) -> httpx.Response:
+    """Send what a curl command of a page would send, to another address."""
+    parser = argparse.ArgumentParser(exit_on_error=False)
+    parser.add_argument("-X", default="", dest="method")
+    parser.add_argument("-H", action="append", default=[], dest="headers")
+    parser.add_argument("-d", default=None, dest="data")
+    parser.add_argument("url")
+    given_options = parser.parse_args(shlex.split(command)[1:])
+    headers = dict(line.split(": ", 1) for line in given_options.headers)
+    method = given_options.method or ("GET" if given_options.data is None else "POST")
+    url = given_options.url.replace(PAGE_ADDRESS, address)
+    assert address in url, f"{command} does not go to {PAGE_ADDRESS}"
+    return httpx.request(
+        method, url, headers=headers, content=given_options.data, trust_env=False, timeout=60.0
+    )
+
+
+@then("each example of the page api answers as stated")
+def check_examples(context: Context) -> None:
+    text = (DOCS / "reference" / "api.md").read_text()
+    examples = EXAMPLE.findall(text)
+    assert len(examples) == text.count("```sh") >= FEWEST_EXAMPLES, len(examples)
+    for command, status, body in examples:
+        response = run_curl(command, context.deployment.daemons["d1"].address)
+        assert response.status_code == int(status), (command, response.text)
+        pattern = ".*".join(map(re.escape, body.split("...")))
+        assert re.fullmatch(pattern, response.text), (command, response.text)
+
+
+@then("each link of a page leads to a file")
+def check_links(context: Context) -> None:
+    pages = [*DOCS.rglob("*.md"), ROOT / "README.md", ROOT / "DEVELOPERS.md"]
+    links = [
+        (page, target)
+        for page in pages
+        for target in re.findall(r"\]\(([^)#:]+)(?:#[^)]*)?\)", page.read_text())
+    ]
+    assert links
+    for page, target in links:
+        assert (page.parent / target).exists(), f"{page}: {target}"
+    reached = {(page.parent / target).resolve() for page, target in links}
+    for page in pages:
+        if page.parent.name in ("topics", "how-to", "reference"):
+            assert page.resolve() in reached, f"no page links to {page}"
