Bring tables past silent links, restarts and outages without reverting

Cause: a daemon behind a silent platform link asked its peers only after its read of the log failed (25 s). One that started while the platform was down has no host list, so it could not ask at all. A restarted daemon put the tables of each page in force, older ones first. Only the registrar of shard 0 recorded the tables again, also when it was cut off.

Change: ask a peer whose tables differ for 1.5 s, offer tables to one without any, put tables in force at the end of the stream only, let any daemon write an overdue Keep record, keep a removed pool until peers hold none of its tasks. Reads take 50 records and yield after each.

--- a/packages/daemon/src/fireflybridge_daemon/_configuration.py
+++ b/packages/daemon/src/fireflybridge_daemon/_configuration.py
@@ -30,6 +30,12 @@
 READ_WAIT_S = 20.0
 MIN_PAUSE_S = 0.1
 MAX_PAUSE_S = 2.0
+# Folding a record takes up to 4 ms at 1,000 upstreams; a page holds the answers of one read.
+PAGE_RECORDS = 50
+# Reads end, and Keep records are tried again, this many times within the keep interval.
+KEEP_CHECKS = 8
+# The daemon that records the tables again may be cut off from the log; then any other does it.
+OVERDUE_INTERVALS = 1.5
 
 MakeRunner = Callable[[Pool], PoolRunner]
 
@@ -50,10 +56,16 @@
         self._keep_interval_s = keep_interval_s
         self._metrics = metrics
         self._clock = clock
+        self._read_wait_s = min(READ_WAIT_S, keep_interval_s / KEEP_CHECKS)
+        # What has been read so far. It comes into force only at the end of the stream: at an
+        # earlier record a restarted daemon would serve an older revision than before.
+        self._read = TablesState()
         self._state = TablesState()
         self._runners: dict[str, PoolRunner] = {}
+        self._idle_before: set[str] = set()
         self._since = clock()
         self._kept_seen = (0, clock())
+        self._keep_tried_at = clock() - keep_interval_s
         self.log_reachable = False
         self.on_change: Callable[[], None] = lambda: None
         self.may_keep: Callable[[], bool] = lambda: False
@@ -65,7 +77,7 @@
 
     @property
     def state(self) -> TablesState:
-        """Return the fold of the stream."""
+        """Return the fold of the stream that is in force."""
         return self._state
 
     @property
@@ -91,12 +103,16 @@
         """Read the tables stream and apply each revision, for ever."""
         pause_s = MIN_PAUSE_S
         while True:
-            match await self._log.read(TABLES_STREAM, self._state.offset, wait_s=READ_WAIT_S):
+            match await self._log.read(
+                TABLES_STREAM, self._read.offset, limit=PAGE_RECORDS, wait_s=self._read_wait_s
+            ):
                 case Ok(page):
                     pause_s = MIN_PAUSE_S
                     self.log_reachable = True
-                    self._fold_page(page)
-                    await self._keep_if_due(page)
+                    await self._fold_page(page)
+                    if self._read.offset >= page.end_offset:
+                        self._apply(self._read)
+                        await self._keep_if_due(page)
                 case Err(error):
                     self._note_failure(error)
                     await anyio.sleep(pause_s)
@@ -109,7 +125,10 @@
     def answer_peer(self, have: TablesHave) -> TablesSend | None:
         """Return the revision in force for a peer that knows less of the stream."""
         keep = make_keep(self._state)
-        if keep is None or have.offset >= self._state.offset:
+        behind = have.offset < self._state.offset
+        # At the same offset a peer without the revision can't know it: the log removed records.
+        missing = have.offset == self._state.offset and have.revision != self._state.revision_id
+        if keep is None or not (behind or missing):
             return None
         return TablesSend((TableRecord(keep.as_of, encode_record(keep)),))
 
@@ -118,7 +137,10 @@
         for record in message.records:
             match decode_record(record.payload):
                 case Keep() as keep:
-                    self._apply(adopt_keep(self._state, keep))
+                    adopted = adopt_keep(self._read, keep)
+                    if adopted is not self._read:
+                        self._read = adopted
+                        self._apply(adopted)
                 case _:
                     self._metrics.tables_faults.inc()
                     log_event(
@@ -127,26 +149,35 @@
                         fault="not a record of the tables in force, from a peer",
                     )
 
-    def retire_idle(self) -> None:
-        """Drop the runners of pools that left the tables and have nothing left to do."""
-        for name, runner in tuple(self._runners.items()):
-            if name not in self._state.tables.pools and runner.idle:
-                runner.withdraw()
-                del self._runners[name]
-
-    def _fold_page(self, page: Page) -> None:
-        state = skip_gap(self._state, page.first_offset)
+    def retire_idle(self, has_assigned: Callable[[str], bool]) -> None:
+        """Drop the runners of pools that left the tables and have nothing left to do.
+
+        ``has_assigned`` tells whether peers hold tasks of a pool; they may give them back. A pool
+        must be idle at two calls: a task on its way to a slot shows neither as queued nor running.
+        """
+        idle = {
+            name
+            for name, runner in self._runners.items()
+            if name not in self._state.tables.pools and runner.idle and not has_assigned(name)
+        }
+        for name in idle & self._idle_before:
+            self._runners.pop(name).withdraw()
+        self._idle_before = idle
+
+    async def _fold_page(self, page: Page) -> None:
+        self._read = skip_gap(self._read, page.first_offset)
         for record in page.records:
-            before = state.last_fault
-            state = fold_record(state, record.offset, decode_record(record.payload))
-            if state.last_fault is not None and state.last_fault is not before:
+            before = self._read.last_fault
+            self._read = fold_record(self._read, record.offset, decode_record(record.payload))
+            if self._read.last_fault is not None and self._read.last_fault is not before:
                 self._metrics.tables_faults.inc()
                 log_event(
                     Event.TABLES_RECORD_UNREADABLE,
                     offset=record.offset,
-                    fault=repr(state.last_fault),
+                    fault=repr(self._read.last_fault),
                 )
-        self._apply(state)
+            # Requests go on between records; a peer's tables may come in as well.
+            await anyio.sleep(0)
 
     def _apply(self, state: TablesState) -> None:
         changed = state.revision_id != self._state.revision_id
@@ -164,14 +195,17 @@
         self.on_change()
 
     async def _keep_if_due(self, page: Page) -> None:
+        now = self._clock()
         if self._state.kept_offset != self._kept_seen[0]:
-            self._kept_seen = (self._state.kept_offset, self._clock())
-        since_s = self._clock() - self._kept_seen[1]
+            self._kept_seen = (self._state.kept_offset, now)
+        since_s = now - self._kept_seen[1]
         due = needs_keep(self._state, page.first_offset, since_s, self._keep_interval_s)
+        chosen = self.may_keep() or since_s >= OVERDUE_INTERVALS * self._keep_interval_s
+        early = now - self._keep_tried_at < self._keep_interval_s / KEEP_CHECKS
         keep = make_keep(self._state)
-        if not due or keep is None or not self.may_keep():
+        if keep is None or early or not (due and chosen):
             return
-        self._kept_seen = (self._kept_seen[0], self._clock())
+        self._keep_tried_at = now
         match await self._log.append(TABLES_STREAM, encode_record(keep)):
             case Ok(offset):
                 log_event(Event.TABLES_KEPT, offset=offset, revision=self._state.revision_id)
--- a/packages/daemon/src/fireflybridge_daemon/_daemon.py
+++ b/packages/daemon/src/fireflybridge_daemon/_daemon.py
@@ -237,7 +237,7 @@
             await anyio.sleep(HOUSEKEEPING_S)
             self.metrics.loop_lag.set(time.monotonic() - slept_at - HOUSEKEEPING_S)
             self.book.expire()
-            self.configuration.retire_idle()
+            self.configuration.retire_idle(self.mover.has_assigned)
             for runner in self.configuration.runners:
                 for task in runner.queue.expire():
                     self._deliver(task, NotRun(Cause.DEADLINE_PASSED))
--- a/packages/daemon/src/fireflybridge_daemon/_mover.py
+++ b/packages/daemon/src/fireflybridge_daemon/_mover.py
@@ -142,6 +142,10 @@
             self._emptied = anyio.Event()
             await self._emptied.wait()
 
+    def has_assigned(self, pool: str) -> bool:
+        """Tell whether peers hold tasks of a pool."""
+        return any(assigned.task.pool == pool for assigned in self._assigned.values())
+
     def has_accepted(self, task: Task) -> bool:
         """Tell whether a task belongs to a peer and was not cancelled by it."""
         return task.id in self._accepted and task.id not in self._cancelled
--- a/packages/daemon/src/fireflybridge_daemon/_peering.py
+++ b/packages/daemon/src/fireflybridge_daemon/_peering.py
@@ -51,6 +51,8 @@
 from fireflybridge_telemetry import Event, Metrics, log_event
 
 TICK_S = 0.25
+# A read of a log behind a silent link fails only after 25 s, and tables are due everywhere in 5 s.
+TABLES_WAIT_S = 1.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,8 +86,9 @@
         self._clock = clock
         self._membership = Membership(settings.name, failure_domain, clock())
         self._beats: dict[str, Heartbeat] = {}
+        self._differs_since: dict[str, float] = {}
         self._live: frozenset[str] = frozenset()
-        self._connected: dict[str, str] = {}
+        self._connected: frozenset[str] = frozenset()
         self._handlers: Handlers | None = None
         callbacks = LinkCallbacks(
             handle=self._handle,
@@ -226,12 +229,12 @@
         if not isinstance(verdict, Applied):
             log_event(Event.HOST_LIST_IGNORED, verdict=repr(verdict))
             return
-        wanted = {peer.name: peer.address for peer in self._membership.list_peers()}
-        for name in self._connected.keys() - wanted.keys():
+        wanted = {peer.name: peer for peer in self._membership.list_peers()}
+        for name in self._connected - wanted.keys():
             self._links.disconnect(name)
-        for name, address in wanted.items():
-            self._links.connect(name, address)
-        self._connected = wanted
+        for peer in wanted.values():
+            self._links.connect(peer.name, peer.address, remote=peer.remote)
+        self._connected = frozenset(wanted)
         self.update_ownership()
 
     def _build_heartbeat(self, peer: str) -> Heartbeat:
@@ -294,12 +297,26 @@
             peer, beat.incarnation, beat.failure_domain, DaemonState(beat.state.value)
         )
         self._membership.hear(report, self._clock())
+        parts.mover.send_held(peer)
         for load in beat.pools:
             parts.mover.note_backlog(peer, load.pool, load.queued)
-        configuration = self._configuration
-        differs = beat.tables_revision not in ("", configuration.state.revision_id)
-        if differs and not configuration.log_reachable:
-            self.send(peer, configuration.describe())
+        self._exchange_tables(peer, beat)
+
+    def _exchange_tables(self, peer: str, beat: Heartbeat) -> None:
+        """Ask a peer for tables that the log has not brought, or offer them to one without any."""
+        configuration, now = self._configuration, self._clock()
+        if beat.tables_revision == configuration.state.revision_id:
+            self._differs_since.pop(peer, None)
+            return
+        waited_s = now - self._differs_since.setdefault(peer, now)
+        if beat.tables_revision:
+            if not configuration.log_reachable or waited_s >= TABLES_WAIT_S:
+                self.send(peer, configuration.describe())
+        elif not beat.log_reachable:
+            # Without the host list the peer has no link on which it could ask.
+            offer = configuration.answer_peer(TablesHave(0, ""))
+            if offer is not None:
+                self.send(peer, offer)
 
     def _drop_peer(self, lost: Lost) -> None:
         self._metrics.peers_lost.inc()
@@ -310,6 +327,8 @@
 
     def _note_stalled(self, stalled: Stalled) -> None:
         log_event(Event.PEER_STALLED, peer=stalled.peer)
+        if self._handlers is not None:
+            self._handlers.mover.give_back(stalled.peer, stalled.unsent)
 
     def _report_fault(self, error: StepError) -> None:
         log_event(Event.PEER_MESSAGE_REJECTED, error=str(error))
--- a/packages/daemon/src/fireflybridge_daemon/_pools.py
+++ b/packages/daemon/src/fireflybridge_daemon/_pools.py
@@ -86,8 +86,8 @@
 
     @property
     def idle(self) -> bool:
-        """Tell whether nothing is queued or running."""
-        return self._running == 0 and self.queue.queued == 0
+        """Tell whether nothing is queued, running or waiting to be sent again."""
+        return self._running == 0 and self.queue.queued == 0 and not self._resent
 
     def configure(self, pool: Pool) -> None:
         """Apply the pool of the tables in force."""
