List workers as hosts and measure the target's tables together

Cause: the host list of the measured deployments held daemons only, while the platform lists upstream hosts too; their entries are read each second. Change: workers are listed; one point has 20 daemons, 1,000 workers, 1,000 routes and 100 teams; SIGTERM ends the started programs; a change replaces a route instead of adding one above the limit of 1,000.

--- a/standins/src/fireflybridge_standins/capacity/__main__.py
+++ b/standins/src/fireflybridge_standins/capacity/__main__.py
@@ -3,6 +3,7 @@
 import argparse
 import json
 import os
+import signal
 import sys
 import time
 from dataclasses import asdict
@@ -20,6 +21,7 @@
     summarize,
 )
 
+EXIT_TERMINATED = 143
 PATH_ROUNDS = 3
 PATH_TASKS = 6000
 
@@ -37,6 +39,8 @@
 def main() -> int:
     """Run every measurement, print each as it ends, and write the results."""
     arguments = parse_arguments()
+    # Ends the started programs too, which the default action would leave behind.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_TERMINATED))
     started = time.monotonic()
     trees, sizes = [str(arguments.tree)], list(SIZES)
     # Every program takes the libraries of one checkout, whatever else changes meanwhile.
--- a/standins/src/fireflybridge_standins/capacity/_deployment.py
+++ b/standins/src/fireflybridge_standins/capacity/_deployment.py
@@ -3,7 +3,7 @@
 import os
 import time
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 import anyio
@@ -76,16 +76,16 @@
         self._list_hosts()
         self.wait_serving()
 
-    def make_tables(self, spare_routes: int = 0, teams: int = 0) -> Tables:
-        """Return tables of the scale, with some more routes and other quotas."""
-        addresses = [at for worker in self.workers for at in worker.ready["workers"].items()]
+    def make_tables(self, spare_routes: int = 0, teams: int = 0, expected_ms: int = 1) -> Tables:
+        """Return tables of the scale, with some more routes, other quotas or another first route."""
         upstreams = tuple(
             Upstream(name, address, self.scale.slots, 64, f"domain-{index % DOMAINS}")
-            for index, (name, address) in enumerate(addresses)
+            for index, (name, address) in enumerate(self._list_workers())
         )
         quotas = tuple(Quota(f"team-{index}") for index in range(teams or self.scale.teams))
         names = [ROUTE, *(f"route-{n}" for n in range(1, self.scale.routes + spare_routes))]
         routes = {name: Route(name, POOL, True, WINDOW_MS, WINDOW_MS // 2, 1) for name in names}
+        routes[ROUTE] = replace(routes[ROUTE], expected_ms=expected_ms)
         return Tables(routes, {POOL: Pool(POOL, upstreams, True, quotas)})
 
     def publish(self, tables: Tables) -> str:
@@ -156,19 +156,25 @@
         )
 
     def _list_hosts(self) -> None:
+        daemons = ((f"d{n}", "entry", d.ready["peers"]) for n, d in enumerate(self.daemons))
+        workers = ((name, "upstream", address) for name, address in self._list_workers())
         hosts = [
             {
-                "name": f"d{index}",
-                "role": "entry",
+                "name": name,
+                "role": role,
                 "state": "live",
                 "failure_domain": f"domain-{index % DOMAINS}",
-                "address": daemon.ready["peers"],
+                "address": address,
             }
-            for index, daemon in enumerate(self.daemons)
+            for entries in (daemons, workers)
+            for index, (name, role, address) in enumerate(entries)
         ]
         url = f"http://{self.platform.address}/control/hosts"
         httpx.put(url, json={"hosts": hosts}, trust_env=False).raise_for_status()
 
+    def _list_workers(self) -> list[tuple[str, str]]:
+        return [at for worker in self.workers for at in worker.ready["workers"].items()]
+
 
 async def _append(url: str, record: bytes) -> None:
     async with HttpLog(url) as log:
--- a/standins/src/fireflybridge_standins/capacity/_slopes.py
+++ b/standins/src/fireflybridge_standins/capacity/_slopes.py
@@ -21,6 +21,7 @@
 LOAD_CONNECTIONS = 6
 LOAD_SIZE = 30
 KEPT_SIZE = 300
+TARGET = Scale(daemons=20, workers=1000, routes=1000, teams=100)
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,6 +40,7 @@
     """Yield the points of every axis."""
     yield from _measure_daemons(import_mb, daemons)
     yield from _measure_workers(import_mb, workers)
+    yield from _measure_target(import_mb)
     yield from _measure_tables(import_mb)
     yield from _measure_kept(import_mb)
 
@@ -62,6 +64,16 @@
             yield _measure_loaded(deployment, "workers", count, import_mb)
 
 
+def _measure_target(import_mb: float) -> Iterator[Point]:
+    """Measure the target's tables and host list together, with TARGET's daemons."""
+    with Programs() as programs:
+        deployment = Deployment(programs, TARGET)
+        time.sleep(SETTLE_S)
+        yield _measure_idle(deployment, "target", TARGET.daemons, import_mb)
+        yield _measure_loaded(deployment, "target", TARGET.daemons, import_mb, TARGET.teams)
+        yield _measure_in_force(deployment, "target", TARGET.daemons)
+
+
 def _measure_tables(import_mb: float) -> Iterator[Point]:
     """Measure routes, teams and changes on one deployment, whose tables are replaced."""
     with Programs() as programs:
@@ -121,7 +133,7 @@
 ) -> Point:
     times_s = []
     for number in range(PUBLICATIONS):
-        tables = deployment.make_tables(spare_routes + (number + 1) % 2)
+        tables = deployment.make_tables(spare_routes, expected_ms=number + 2)
         times_s.append(deployment.measure_in_force_s(tables))
     return Point(axis, value, in_force_s=max(times_s), publications=PUBLICATIONS)
 
@@ -132,7 +144,7 @@
     count = max(1, round(per_minute * WINDOW_S / 60))
     for number in range(count):
         if per_minute:
-            deployment.publish(deployment.make_tables((number + 1) % 2))
+            deployment.publish(deployment.make_tables(expected_ms=number + 2))
         time.sleep(WINDOW_S / count)
     return _compare(
         deployment, "changes per minute", per_minute, before, _read(deployment), import_mb
--- a/standins/src/fireflybridge_standins/capacity/path.py
+++ b/standins/src/fireflybridge_standins/capacity/path.py
@@ -124,7 +124,9 @@
 
 def list_sources(tree: str) -> str:
     """Return the search path that takes every library from one checkout."""
-    return ":".join(map(str, sorted(Path(tree, "packages").glob("*/src"))))
+    return ":".join(
+        map(str, [*sorted(Path(tree).glob("packages/*/src")), Path(tree, "standins/src")])
+    )
 
 
 def _deploy(programs: Programs, tree: str) -> Deployment:
