Explore random faults and resubmissions over real processes

Each run draws submissions of every kind of key, resubmissions, cancellations and three faults (workers, log, partitions, pauses, kills, shutdowns) from seed and run number, undoes the faults and checks all answers against all starts.

--- /dev/null
+++ b/features/explore.py
@@ -0,0 +1,241 @@
+"""Search for violations with random faults, resubmissions and cancellations over real processes.
+
+Every run draws its schedule from ``<seed>/<run>``, so one run is repeated with ``--first``. The
+schedule repeats exactly; the moments at which processes act on it do not.
+"""
+
+import argparse
+import random
+import sys
+import time
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).parent))
+
+from support.checks import Ledger, Request, make_request, make_unkeyed, read_starts
+from support.deployment import Deployment, Plan
+from support.processes import Processes
+
+DAEMONS = ("d1", "d2", "d3")
+DEADLINE_MS = 4000
+SUBMISSIONS = 24
+FAULTS = 3
+SPREAD_S = 2.5  # calls and faults of a run begin within this time
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """Hold one action of a schedule, ``at`` seconds after the run began."""
+
+    at: float
+    name: str
+    act: Callable[[], None]
+
+
+@dataclass(slots=True)
+class Explorer:
+    """Own one deployment, and draw and carry out runs over it."""
+
+    deployment: Deployment
+    ledger: Ledger
+    generator: random.Random = field(default_factory=random.Random)
+    injected: Counter[str] = field(default_factory=Counter)
+    down: set[str] = field(default_factory=set)
+
+    def run(self, seed: str) -> list[str]:
+        """Carry out the run of a seed, undo its faults, and return the names of its steps."""
+        self.generator.seed(seed)
+        steps = [step for _ in range(SUBMISSIONS) for step in self._draw_submission()]
+        steps += [step for _ in range(FAULTS) for step in self._draw_fault()]
+        began = time.monotonic()
+        for step in sorted(steps, key=lambda step: step.at):
+            time.sleep(max(0.0, began + step.at - time.monotonic()))
+            step.act()
+        self._recover()
+        self.ledger.wait_all()
+        return [f"{step.at:.2f} {step.name}" for step in sorted(steps, key=lambda s: s.at)]
+
+    def _draw_submission(self) -> list[Step]:
+        """Draw a submission with its resubmissions and, now and then, a cancellation."""
+        draw = self.generator
+        request, first = self._draw_request(), draw.choice(DAEMONS)
+        at = draw.uniform(0.0, SPREAD_S)
+        steps = [self._make_call(at, first, request, "POST")]
+        if request.key:
+            for _ in range(draw.choice((0, 1, 1, 2))):
+                again = at + draw.choice((0.0, 0.05, 0.5, 2.0))
+                steps.append(self._make_call(again, draw.choice(DAEMONS), request, "POST"))
+            if draw.random() < 0.2:
+                moment = at + draw.uniform(0.0, 0.5)
+                steps.append(self._make_call(moment, first, request, "DELETE"))
+            if draw.random() < 0.2:
+                moment = at + draw.uniform(0.0, 2.0)
+                steps.append(self._make_call(moment, draw.choice(DAEMONS), request, "GET"))
+        return steps
+
+    def _draw_request(self) -> Request:
+        draw = self.generator
+        sleep_ms, route = draw.choice((10, 100, 600)), draw.choice(("booking", "payment"))
+        tasks = draw.choice((1, 4, 12))
+        match draw.choice(("chosen", "prefixed", "single", "unkeyed")):
+            case "prefixed":
+                prefix = self.deployment.make_prefix(draw.choice(DAEMONS))
+                return make_request(
+                    tasks, sleep_ms, prefix=prefix, route=route, deadline_ms=DEADLINE_MS
+                )
+            case "single":
+                return make_request(1, sleep_ms, route=route, single=True, deadline_ms=DEADLINE_MS)
+            case "unkeyed":
+                return make_unkeyed(sleep_ms)
+            case _:
+                return make_request(tasks, sleep_ms, route=route, deadline_ms=DEADLINE_MS)
+
+    def _make_call(self, at: float, daemon: str, request: Request, method: str) -> Step:
+        def act() -> None:
+            self.ledger.send(daemon, request, method)
+
+        return Step(at, f"{method} {request.key or 'unkeyed'} at {daemon}", act)
+
+    def _draw_fault(self) -> list[Step]:
+        """Draw a fault and the step that ends it; daemons that were ended return afterwards."""
+        draw = self.generator
+        at = draw.uniform(0.1, SPREAD_S)
+        until = at + draw.choice((0.3, 1.0, 4.0))
+        name = draw.choice(DAEMONS)
+        other = draw.choice([one for one in DAEMONS if one != name])
+        match draw.choice(("worker", "worker", "log", "cut", "platform", "pause", "kill", "stop")):
+            case "worker":
+                return self._draw_worker_fault(at, until)
+            case "log":
+                return self._draw_log_fault(at, until)
+            case "cut":
+                return self._make_cut(at, until, "cut", f"{name}-{other}", f"{other}-{name}")
+            case "platform":
+                return self._make_cut(at, until, "platform", f"{name}-platform")
+            case "pause":
+                return [
+                    self._make_fault(at, f"pause {name}", lambda: self._pause(name)),
+                    Step(until, f"resume {name}", lambda: self._resume(name)),
+                ]
+            case kind:
+                return [self._make_fault(at, f"{kind} {name}", lambda: self._end(name, kind))]
+
+    def _draw_worker_fault(self, at: float, until: float) -> list[Step]:
+        fault = self.generator.choice(("reset", "truncate", "fail", "refuse"))
+        workers = self.generator.sample(sorted(self.deployment.worker_addresses), 3)
+        set_fault = self.deployment.set_worker_fault
+        return [
+            self._make_fault(at, f"worker-{fault}", lambda: set_fault(fault, *workers)),
+            Step(until, "workers recover", lambda: set_fault("none", *workers)),
+        ]
+
+    def _draw_log_fault(self, at: float, until: float) -> list[Step]:
+        mode = self.generator.choice(("refuse", "lose_answers", "hang", "slow"))
+        set_fault = self.deployment.set_platform_fault
+        return [
+            self._make_fault(at, f"log-{mode}", lambda: set_fault(mode=mode, latency_ms=500)),
+            Step(until, "log recovers", lambda: set_fault(mode="none")),
+        ]
+
+    def _make_cut(self, at: float, until: float, kind: str, *links: str) -> list[Step]:
+        proxy = self.deployment.proxy
+        assert proxy is not None
+        faults = [{"kind": self.generator.choice(("drop", "hold"))}]
+        return [
+            self._make_fault(
+                at, f"{kind} {links[0]}", lambda: proxy.set_faults(*links, faults=faults)
+            ),
+            Step(until, f"heal {links[0]}", lambda: proxy.clear_faults(*links)),
+        ]
+
+    def _make_fault(self, at: float, name: str, act: Callable[[], None]) -> Step:
+        def count_and_act() -> None:
+            self.injected[name.split()[0]] += 1
+            act()
+
+        return Step(at, name, count_and_act)
+
+    def _pause(self, name: str) -> None:
+        if name not in self.down:
+            self.deployment.daemons[name].pause()
+
+    def _resume(self, name: str) -> None:
+        if name not in self.down:
+            self.deployment.daemons[name].resume()
+
+    def _end(self, name: str, kind: str) -> None:
+        """Kill a daemon, or send it SIGTERM."""
+        daemon = self.deployment.daemons[name]
+        if name in self.down:
+            return
+        self.down.add(name)
+        (self.ledger.killed if kind == "kill" else self.ledger.stopped).add(daemon.address)
+        if kind == "kill":
+            daemon.kill()
+        else:
+            daemon.resume()
+            daemon.terminate()
+
+    def _recover(self) -> None:
+        """Undo every fault and start the daemons that were ended again."""
+        self.deployment.set_platform_fault(mode="none")
+        self.deployment.set_worker_fault("none")
+        for name in sorted(self.down):
+            self.deployment.daemons[name].wait_exit(60.0)
+            self.deployment.start_daemon(name)
+        self.down.clear()
+        self.deployment.wait_serving()
+
+
+def parse_arguments() -> argparse.Namespace:
+    """Read the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--runs", type=int, default=20)
+    parser.add_argument("--first", type=int, default=0, help="number of the first run")
+    return parser.parse_args()
+
+
+def explore(processes: Processes, seed: int, first: int, runs: int) -> int:
+    """Carry out runs until one shows a violation; print the totals and return the exit code."""
+    deployment = Deployment(processes, Plan(daemons=3, workers=2, proxied=True))
+    deployment.start()
+    ledger = Ledger(deployment)
+    explorer = Explorer(deployment, ledger)
+    violations: list[str] = []
+    done = 0
+    for number in range(first, first + runs):
+        steps = explorer.run(f"{seed}/{number}")
+        done += 1
+        if violations := ledger.find_faults():
+            print(f"run {number} of seed {seed}:", *steps, "", *violations, sep="\n")
+            break
+    ledger.close()
+    faults = " ".join(f"{kind}={count}" for kind, count in sorted(explorer.injected.items()))
+    print(f"seed {seed}: {done} runs, {len(ledger.calls)} calls, faults: {faults}")
+    answers = Counter(
+        call.state or call.problem or f"status {call.status}" for call in ledger.calls
+    )
+    print("answers:", *(f"{kind}={count}" for kind, count in sorted(answers.items())))
+    print(f"{len(read_starts(deployment))} starts checked, {len(violations)} violations")
+    return 1 if violations else 0
+
+
+def main() -> int:
+    """Explore and end every process."""
+    arguments = parse_arguments()
+    processes = Processes()
+    try:
+        return explore(processes, arguments.seed, arguments.first, arguments.runs)
+    finally:
+        survivors = processes.end_all()
+        processes.close()
+        if survivors:
+            print(f"still running after SIGTERM: {survivors}")
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/features/steps/recovery.py
+++ b/features/steps/recovery.py
@@ -128,6 +128,7 @@
     try:
         for name in DAEMONS:
             daemon = context.deployment.daemons[name]
+            context.ledger.stopped.add(daemon.address)
             daemon.terminate()
             time.sleep(BALANCER_LAG_S)
             context.balanced.remove(name)
@@ -186,7 +187,7 @@
 
 def kill(context: Context, name: str) -> None:
     """Kill a daemon and let the platform's host list say so."""
-    context.ledger.killed.add(name)
+    context.ledger.killed.add(context.deployment.daemons[name].address)
     context.deployment.daemons[name].kill()
     context.deployment.daemons[name].wait_exit()
     context.deployment.list_hosts()
--- a/features/steps/submissions.py
+++ b/features/steps/submissions.py
@@ -119,7 +119,7 @@
     for request in running:
         ledger.send("d1", request)
         context.ledger.wait_started(request)
-    ledger.killed.add("d1")
+    ledger.killed.add(context.deployment.daemons["d1"].address)
     context.deployment.daemons["d1"].kill()
     context.deployment.daemons["d1"].wait_exit()
     for request in finished + running:
--- a/features/support/checks.py
+++ b/features/support/checks.py
@@ -74,6 +74,7 @@
     entries: tuple[Entry, ...] = ()
     detail: str = ""
     request_ran: str = ""
+    address: str = ""
 
     def says_not_run(self, index: int) -> bool:
         """Tell whether the answer claims that a task has not run."""
@@ -84,18 +85,25 @@
 
 @dataclass(slots=True)
 class Ledger:
-    """Own the calls of one run; each runs on a thread of its own."""
+    """Own the calls of one run; each runs on a thread of its own.
+
+    ``killed`` and ``stopped`` hold the addresses of daemons that were killed or told to stop.
+    """
 
     deployment: Deployment
     calls: list[Call] = field(default_factory=list)
     killed: set[str] = field(default_factory=set)
+    stopped: set[str] = field(default_factory=set)
     _pool: ThreadPoolExecutor = field(default_factory=lambda: ThreadPoolExecutor(MAX_CALLERS))
+    _futures: "list[Future[Call]]" = field(default_factory=list)
     _lock: threading.Lock = field(default_factory=threading.Lock)
 
     def send(self, daemon: str, request: Request, method: str = "POST") -> "Future[Call]":
         """Start a call at a daemon; GET and DELETE act on the key of the request."""
         address = self.deployment.daemons[daemon].address
-        return self._pool.submit(self._call, daemon, address, request, method)
+        future = self._pool.submit(self._call, daemon, address, request, method)
+        self._futures.append(future)
+        return future
 
     def ask(self, daemon: str, request: Request, method: str = "POST") -> Call:
         """Call and wait for the answer."""
@@ -108,12 +116,23 @@
             detail=f"start of {request.key}",
         )
 
+    def find_faults(self) -> list[str]:
+        """Return every violation that the calls and starts so far show, in words."""
+        starts = read_starts(self.deployment)
+        return [*find_violations(starts, self.calls), *find_unanswered(self)]
+
     def check(self) -> int:
         """Raise AssertionError on any violation; return how many starts were checked."""
-        starts = read_starts(self.deployment)
-        violations = [*find_violations(starts, self.calls), *find_unanswered(self)]
+        violations = self.find_faults()
         assert not violations, "\n".join(violations)
-        return len(starts)
+        return len(read_starts(self.deployment))
+
+    def wait_all(self) -> None:
+        """Wait until every call that was sent has ended."""
+        futures = self._futures.copy()
+        self._futures.clear()
+        for future in futures:
+            future.result()
 
     def close(self) -> None:
         """Wait for every call to end."""
@@ -129,6 +148,7 @@
             call = read_call(daemon, request, began, response)
         except httpx.HTTPError as error:
             call = Call(daemon, request, began, time.monotonic(), 0, detail=repr(error))
+        call = replace(call, address=address)
         with self._lock:
             self.calls.append(call)
         return call
@@ -218,9 +238,13 @@
 
 
 def find_unanswered(ledger: Ledger) -> Iterator[str]:
-    """Yield the calls without an answer whose daemon was not killed."""
+    """Yield the calls without an answer, unless their daemon was killed or refused them.
+
+    A daemon that was told to stop may refuse connections, but answers what it accepted.
+    """
     for call in ledger.calls:
-        if call.status == 0 and call.daemon not in ledger.killed:
+        refused = call.address in ledger.stopped and "ConnectError" in call.detail
+        if call.status == 0 and call.address not in ledger.killed and not refused:
             yield f"{call.request.key} got no answer from {call.daemon}: {call.detail}"
 
 
