Pass a cancellation on to the daemon that executes the job

DELETE at another daemon only read the job's state: of a job of 60 tasks all went on to start. The request now goes to all peers, and the executor cancels the job. A scenario cancels at the second daemon a job of the first.

--- a/features/pages.feature
+++ b/features/pages.feature
@@ -16,3 +16,8 @@
 
   Scenario: Links between pages lead somewhere
     Then each link of a page leads to a file
+
+  Scenario: A job is cancelled at any daemon, as the page for callers says
+    Given a deployment for the examples of pages
+    When a job of 60 slow tasks that the first daemon of the pages executes is cancelled at the second
+    Then the cancelled job of the pages ends with tasks that never started
--- a/features/steps/pages_examples.py
+++ b/features/steps/pages_examples.py
@@ -6,9 +6,10 @@
 from pathlib import Path
 
 import httpx
-from behave import given, then
+from behave import given, then, when
 from behave.runner import Context
 from support.deployment import Deployment, Plan
+from support.processes import wait_until
 
 ROOT = Path(__file__).parents[2]
 DOCS = ROOT / "docs"
@@ -67,3 +68,32 @@
     for page in pages:
         if page.parent.name in ("topics", "how-to", "reference"):
             assert page.resolve() in reached, f"no page links to {page}"
+
+
+@when(
+    "a job of {count:d} slow tasks that the first daemon of the pages executes is cancelled at the second"
+)
+def cancel_elsewhere(context: Context, count: int) -> None:
+    deployment = context.deployment
+    job = {"route": "booking", "tasks": [{"body": "sleep=2000"}] * count, "deadline_ms": 100_000}
+    response = deployment.call(
+        "d1",
+        "POST",
+        "/v1/jobs",
+        json=job,
+        headers={"Idempotency-Key": f"{deployment.make_prefix('d1')}.x", "Prefer": "respond-async"},
+    )
+    assert response.status_code == 202, response.text
+    context.location = response.headers["location"]
+    wait_until(deployment.read_starts, detail="a start")
+    deployment.call("d2", "DELETE", context.location)
+
+
+@then("the cancelled job of the pages ends with tasks that never started")
+def check_cancelled(context: Context) -> None:
+    response = context.deployment.call("d2", "GET", f"{context.location}?wait_ms=50000")
+    assert response.status_code == 502, response.text
+    tasks = response.json()["tasks"]
+    cancelled = [task for task in tasks if task.get("cause") == "cancelled"]
+    assert cancelled, response.text
+    assert len(context.deployment.read_starts()) == len(tasks) - len(cancelled), response.text
--- a/packages/daemon/src/fireflybridge_daemon/_forwarding.py
+++ b/packages/daemon/src/fireflybridge_daemon/_forwarding.py
@@ -49,6 +49,9 @@
     async def submit_forwarded(self, submission: Submission) -> Answer:
         """Answer a submission that another daemon forwarded."""
 
+    def cancel_local(self, keys: Iterable[str]) -> None:
+        """Cancel the jobs here that a caller cancelled at another daemon."""
+
     async def fetch_local(self, key: str, wait_s: float) -> Answer | None:
         """Return the answer of a submission here, ``None`` when it is unknown."""
 
--- a/packages/daemon/src/fireflybridge_daemon/_peering.py
+++ b/packages/daemon/src/fireflybridge_daemon/_peering.py
@@ -273,6 +273,7 @@
                 parts.mover.receive_returned(peer, message)
             case Cancel(keys=keys):
                 parts.mover.cancel_accepted(peer, keys)
+                parts.submissions.cancel_local(keys)
             case ClaimRequest():
                 self._group.start_soon(parts.claims.serve, peer, message)
             case ClaimReply():
--- a/packages/daemon/src/fireflybridge_daemon/_submissions.py
+++ b/packages/daemon/src/fireflybridge_daemon/_submissions.py
@@ -2,7 +2,7 @@
 
 import itertools
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -182,8 +182,16 @@
                 self._cancel_job(key, job)
                 return job.answer or Pending()
             case _:
+                self._forwarder.cancel(key)
                 return await self.fetch(key, 0.0)
 
+    def cancel_local(self, keys: Iterable[str]) -> None:
+        """Cancel the jobs here that a caller cancelled at another daemon."""
+        for key in keys:
+            match self._book.find(key):
+                case Running(job=job) if not job.cancelled:
+                    self._cancel_job(key, job)
+
     def issue_prefix(self) -> IssuedPrefix | Refused:
         """Return a prefix for keys that only this daemon may start."""
         if self._draining:
