Refuse hostile requests with what was wrong, and cut callers that read nothing

Found by raw requests: a deadline header of 5,000 digits met an internal error; a key with a slash or a percent sign had no address to be fetched at; a key that is not ASCII was another text in header and path; headers above the limit passed in one segment; hypercorn followed requests for HTTP/2 and WebSockets and answered broken HTTP with an empty body; a caller that never read its answer held its connection for ever. Each has its own refusal now, or is cut after 20 s.

--- a/packages/front/src/fireflybridge_front/_callers.py
+++ b/packages/front/src/fireflybridge_front/_callers.py
@@ -3,7 +3,7 @@
 import re
 from collections.abc import Callable
 from typing import Any
-from urllib.parse import unquote
+from urllib.parse import quote, unquote
 
 import anyio
 import msgspec
@@ -24,11 +24,19 @@
     judge_ran,
 )
 from fireflybridge_front._problems import refuse_malformed, render_internal_error, render_problem
-from fireflybridge_front._requests import MAX_BODY_BYTES, Head, read_head, read_job, read_single
+from fireflybridge_front._requests import (
+    MAX_BODY_BYTES,
+    Head,
+    check_key,
+    read_head,
+    read_job,
+    read_single,
+)
 from fireflybridge_front._service import Dispatcher, IssuedPrefix, RequestTracer
 
 JSON_TYPE = (b"content-type", b"application/json")
 BODY_TIMEOUT_S = 10.0
+MAX_DETAIL_CHARACTERS = 200
 MAX_WAIT_S = 60.0
 # Written to traces only, for a request that was abandoned before it had an answer.
 CALLER_GONE_STATUS = 499
@@ -80,15 +88,18 @@
         body = await _read_body(receive)
         if isinstance(body, Refused):
             return self._render(body)
-        match read_head(dict(scope["headers"]), traceparent):
+        match read_head(scope["headers"], traceparent):
             case Err(refused):
                 return self._render(refused)
             case Ok(head):
                 return await self._route(scope, head, body)
 
     async def _route(self, scope: Any, head: Head, body: bytes) -> Rendered:
-        segments = [unquote(part) for part in scope["path"].split("/")[1:]]
+        # Split before decoding, since a key may hold an encoded slash.
+        segments = [unquote(part) for part in scope["raw_path"].decode("ascii").split("/")[1:]]
         match (scope["method"], segments):
+            case ("GET" | "DELETE", ["v1", "jobs", key]) if refused := check_key(key):
+                return self._render(refused)
             case ("POST", ["v1", "jobs"]):
                 return await self._post_job(head, body)
             case ("GET", ["v1", "jobs", key]):
@@ -103,7 +114,7 @@
             case ("POST", ["v1", "key-prefixes"]):
                 return self._post_prefix()
             case (method, _):
-                detail = f"no {method} {scope['path']} on the callers' port"
+                detail = f"no {method} {scope['path']} on the callers' port"[:MAX_DETAIL_CHARACTERS]
                 return self._render(Refused(Problem.NOT_FOUND, Ran.NOT_RUN, detail))
 
     async def _post_job(self, head: Head, body: bytes) -> Rendered:
@@ -130,7 +141,7 @@
                 data = {"key": key, "state": "complete", "ran": Ran.DONE, "tasks": tasks}
                 return 200, [JSON_TYPE], msgspec.json.encode(data)
             case Pending():
-                location = (b"location", f"/v1/jobs/{key}".encode())
+                location = (b"location", f"/v1/jobs/{quote(key, safe='')}".encode())
                 return 202, [JSON_TYPE, location], msgspec.json.encode({"state": "pending"})
             case Failed(outcomes=outcomes):
                 tasks = [describe_outcome(outcome) for outcome in outcomes]
@@ -149,7 +160,7 @@
         match answer:
             case Complete(outcomes=(done,)) | Failed(outcomes=(Done() as done,)):
                 headers = [
-                    (b"content-type", done.content_type.encode()),
+                    (b"content-type", done.content_type.encode("latin-1", "replace")),
                     (b"fireflybridge-ran", b"done"),
                 ]
                 return done.status, headers, done.body
--- a/packages/front/src/fireflybridge_front/_problems.py
+++ b/packages/front/src/fireflybridge_front/_problems.py
@@ -72,6 +72,16 @@
     return INTERNAL_ERROR_STATUS, headers, msgspec.json.encode(body)
 
 
+def render_broken_http(
+    status: int, max_header_bytes: int
+) -> tuple[list[tuple[bytes, bytes]], bytes]:
+    """Return headers and body of the response to bytes that are not an HTTP/1.1 request."""
+    detail = f"the request is not valid HTTP/1.1, or its headers exceed {max_header_bytes} bytes"
+    _, headers, body = render_problem(refuse_malformed(detail), status=status)
+    headers += [(b"content-length", b"%d" % len(body)), (b"connection", b"close")]
+    return headers, body
+
+
 def refuse_malformed(detail: str) -> Refused:
     """Return the refusal of a request that can't be read."""
     return Refused(Problem.MALFORMED, Ran.NOT_RUN, detail)
--- a/packages/front/src/fireflybridge_front/_requests.py
+++ b/packages/front/src/fireflybridge_front/_requests.py
@@ -1,6 +1,7 @@
 """Reads callers' HTTP requests into submissions."""
 
-from collections.abc import Mapping
+import re
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 import msgspec
@@ -21,6 +22,10 @@
 DEFAULT_TEAM = "default"
 MAX_TEAM_LENGTH = 64
 MAX_DEADLINE_MS = 3_600_000
+DEADLINE_MS = re.compile(rb"[0-9]{1,7}")
+MAX_HEADER_BYTES = 16 * 1024
+# Visible ASCII and spaces, so that a key in a header and in a path is the same text.
+HEADER_TEXT = re.compile(rb"[ -~]*")
 
 
 class TaskBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -49,17 +54,29 @@
     deadline_ms: int | None
 
 
-def read_head(headers: Mapping[bytes, bytes], traceparent: str) -> Result[Head, Refused]:
+def read_head(fields: Sequence[tuple[bytes, bytes]], traceparent: str) -> Result[Head, Refused]:
     """Read and check the headers of a request, whose own trace context is ``traceparent``."""
-    key = headers.get(b"idempotency-key", b"").decode("latin-1").strip().strip('"')
-    team = headers.get(b"fireflybridge-team", DEFAULT_TEAM.encode()).decode("latin-1")
+    headers = dict(fields)
+    raw_team = headers.get(b"fireflybridge-team", DEFAULT_TEAM.encode())
     deadline = headers.get(b"fireflybridge-deadline-ms", b"")
-    if len(key) > MAX_KEY_LENGTH:
-        detail = f"Idempotency-Key has {len(key)} characters; at most {MAX_KEY_LENGTH} are allowed"
-        return Err(Refused(Problem.KEY_TOO_LONG, Ran.NOT_RUN, detail))
-    if not key.isprintable() or not team.isprintable() or not 0 < len(team) <= MAX_TEAM_LENGTH:
-        return Err(refuse_malformed("a header holds unprintable characters or is too long"))
-    if deadline and not (deadline.isdigit() and 0 < int(deadline) <= MAX_DEADLINE_MS):
+    refused = (
+        _check_size(fields)
+        or _check_text("Idempotency-Key", headers.get(b"idempotency-key", b""))
+        or _check_text("Fireflybridge-Team", raw_team)
+    )
+    if refused is not None:
+        return Err(refused)
+    key = headers.get(b"idempotency-key", b"").decode().strip().strip('"')
+    team = raw_team.decode()
+    too_long = check_key(key)
+    if too_long is not None:
+        return Err(too_long)
+    if not 0 < len(team) <= MAX_TEAM_LENGTH:
+        return Err(
+            refuse_malformed(f"Fireflybridge-Team must have 1 to {MAX_TEAM_LENGTH} characters")
+        )
+    is_number = DEADLINE_MS.fullmatch(deadline) is not None
+    if deadline and not (is_number and 0 < int(deadline) <= MAX_DEADLINE_MS):
         return Err(refuse_malformed(f"Fireflybridge-Deadline-Ms must be 1 to {MAX_DEADLINE_MS}"))
     return Ok(
         Head(
@@ -75,6 +92,27 @@
     )
 
 
+def check_key(key: str) -> Refused | None:
+    """Return the refusal of a key that is too long."""
+    if len(key) <= MAX_KEY_LENGTH:
+        return None
+    detail = f"the key has {len(key)} characters; at most {MAX_KEY_LENGTH} are allowed"
+    return Refused(Problem.KEY_TOO_LONG, Ran.NOT_RUN, detail)
+
+
+def _check_size(fields: Sequence[tuple[bytes, bytes]]) -> Refused | None:
+    size = sum(len(name) + len(value) for name, value in fields)
+    if size <= MAX_HEADER_BYTES:
+        return None
+    return refuse_malformed(f"the headers exceed {MAX_HEADER_BYTES} bytes")
+
+
+def _check_text(name: str, value: bytes) -> Refused | None:
+    if HEADER_TEXT.fullmatch(value):
+        return None
+    return refuse_malformed(f"{name} may hold only visible ASCII characters and spaces")
+
+
 def read_job(head: Head, body: bytes) -> Result[Submission, Refused]:
     """Read a job's JSON body into a submission."""
     if not head.key:
--- a/packages/front/src/fireflybridge_front/_server.py
+++ b/packages/front/src/fireflybridge_front/_server.py
@@ -11,8 +11,15 @@
 from hypercorn.asyncio import serve
 from hypercorn.config import Config
 
-MAX_HEADER_BYTES = 16 * 1024
+from fireflybridge_front._hypercorn import adjust_hypercorn
+from fireflybridge_front._requests import MAX_HEADER_BYTES
+
 KEEP_ALIVE_TIMEOUT_S = 75
+# A caller that reads nothing of its answer for so long is cut off by the kernel.
+UNREAD_ANSWER_MS = 20_000
+
+
+adjust_hypercorn()
 
 
 async def serve_app(
@@ -29,6 +36,8 @@
     """
     host, _, port = address.rpartition(":")
     listener = socket.create_server((host, int(port)), backlog=1024)
+    # Accepted connections inherit the option.
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNREAD_ANSWER_MS)
     config = Config()
     config.accesslog = None
     config.errorlog = None
