Share one content type among kept answers

Cause: each kept outcome held a string of its own for the same content type. Change: equal content types are decoded once.

--- a/packages/upstream/src/fireflybridge_upstream/_connection.py
+++ b/packages/upstream/src/fireflybridge_upstream/_connection.py
@@ -3,6 +3,7 @@
 import select
 import time
 from dataclasses import dataclass
+from functools import lru_cache
 
 import anyio
 import h11
@@ -14,6 +15,7 @@
 CONNECT_TIMEOUT_S = 1.0
 RECEIVE_BYTES = 65536
 MAX_RESPONSE_BYTES = 1024 * 1024
+KEPT_TEXTS = 256
 HTTP_TOO_MANY_REQUESTS = 429
 HTTP_SERVICE_UNAVAILABLE = 503
 
@@ -159,8 +161,14 @@
 
 def _assemble(head: h11.Response, body: bytes) -> Response:
     headers = {name.lower(): value for name, value in head.headers.raw_items()}
-    content_type = headers.get(b"content-type", b"application/octet-stream").decode("latin-1")
-    return Response(head.status_code, content_type, b"retry-after" in headers, body)
+    content_type = headers.get(b"content-type", b"application/octet-stream")
+    return Response(head.status_code, _decode_text(content_type), b"retry-after" in headers, body)
+
+
+@lru_cache(KEPT_TEXTS)
+def _decode_text(value: bytes) -> str:
+    """Return one string for all equal values, since answers are kept for minutes."""
+    return value.decode("latin-1")
 
 
 async def _receive_some(stream: SocketStream) -> bytes:
