Check at start that the daemon can listen on its addresses

An address in use, of another host, or given twice ended the daemon with a traceback and exit code 1. Checks FB112 and FB113 name the setting and the cure, with exit code 2 as for other settings.

--- a/features/steps/telemetry.py
+++ b/features/steps/telemetry.py
@@ -85,12 +85,31 @@
 
 @when("telemetry daemons are started with wrong settings of every kind")
 def start_wrong(context: Context) -> None:
+    taken = context.processes.start("fireflybridge_standins.platform").address
+    addresses = (
+        f"--callers-address={taken}",
+        "--operators-address=192.0.2.1:8081",  # reserved for documentation
+        f"--peer-address={taken}",
+    )
+    settings = (
+        *WRONG_SETTINGS,
+        (
+            (*REQUIRED, "--insecure-peers", *addresses),
+            {},
+            (
+                ("FB112", "callers-address"),
+                ("FB112", "operators-address"),
+                ("FB112", "peer-address"),
+                ("FB113", "operators-address"),
+            ),
+        ),
+    )
     context.wrong = [
         (
             context.processes.spawn("fireflybridge_daemon", *arguments, environment=variables),
             expected,
         )
-        for arguments, variables, expected in WRONG_SETTINGS
+        for arguments, variables, expected in settings
     ]
 
 
--- a/packages/daemon/src/fireflybridge_daemon/_checks.py
+++ b/packages/daemon/src/fireflybridge_daemon/_checks.py
@@ -1,6 +1,7 @@
 """Start-up checks: every wrong setting is reported with its id, value and cure."""
 
 import ipaddress
+import socket
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, fields
 from pathlib import Path
@@ -86,6 +87,10 @@
         ("FB107", "log_level", lambda: _check_level(settings.log_level)),
         ("FB108", "trace_ratio", lambda: _check_share(settings.trace_ratio)),
         ("FB109", "log_retention_s", lambda: _check_log_retention(settings)),
+        ("FB112", "callers_address", lambda: _check_free(settings.callers_address)),
+        ("FB112", "operators_address", lambda: _check_free(settings.operators_address)),
+        ("FB112", "peer_address", lambda: _check_free(settings.peer_address)),
+        ("FB113", "operators_address", lambda: _check_distinct(settings)),
         ("FB110", "trace_url", lambda: settings.trace_url and _check_url(settings.trace_url)),
     )
     faults = [
@@ -127,6 +132,25 @@
     return "" if is_port else "give a port between 0 and 65535 after the colon"
 
 
+def _check_free(address: str) -> str:
+    """Try to listen on an address that is well formed."""
+    if _check_address(address):
+        return ""
+    host, _, port = address.rpartition(":")
+    try:
+        socket.create_server((host, int(port))).close()
+    except OSError as error:
+        return f"free the address, or give one of this host ({error.strerror or error})"
+    return ""
+
+
+def _check_distinct(settings: Settings) -> str:
+    addresses = (settings.callers_address, settings.operators_address, settings.peer_address)
+    fixed = [address for address in addresses if not address.endswith(":0")]
+    is_distinct = len(set(fixed)) == len(fixed)
+    return "" if is_distinct else "give callers, operators and peers an address each"
+
+
 def _check_peer_key(settings: Settings) -> str:
     if not settings.peer_key_file:
         return "" if settings.insecure_peers else "name a key file, or set --insecure-peers"
