--- a/packages/daemon/src/fireflybridge_daemon/_daemon.py
+++ b/packages/daemon/src/fireflybridge_daemon/_daemon.py
@@ -33,7 +33,8 @@
     log_event,
 )
 
-HOUSEKEEPING_S = 0.25
+# The dispatch queue refreshes shares and offers held tasks at this pace.
+HOUSEKEEPING_S = 0.1
 # After the drain the last answers still have to reach their callers.
 ANSWER_GRACE_S = 2.0
 OPERATORS_GRACE_S = 0.5
