--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -20,6 +20,12 @@
     And 130 revisions and as many void ones are appended to the tables
     And d3 is restarted
     Then the last tables are in force on d1, d2 and d3
+    When the tables are published with --wait for every daemon
+    Then the waiting publish exits 0 and every daemon has the tables
+    When d2 is cut off from tables and the tables are published with --wait for every daemon
+    Then the waiting publish exits 6 and names d2 alone
+    When d2 finds the tables again
+    Then the last tables are in force on d1, d2 and d3
     And no daemon has gone back to older tables
 
   Scenario: Tables outlast the log, and what was accepted outlasts the tables
--- a/packages/cli/src/fireflybridge_cli/_arguments.py
+++ b/packages/cli/src/fireflybridge_cli/_arguments.py
@@ -18,6 +18,7 @@
     Replay,
     Status,
     Submit,
+    Wait,
 )
 
 DEFAULT_PLATFORM = "http://127.0.0.1:8500"
@@ -49,7 +50,11 @@
 
 def parse_arguments(arguments: Sequence[str], variables: Mapping[str, str]) -> Invocation:
     """Return the command given by the arguments; end with exit code 2 when they are wrong."""
-    parsed = _build_parser(_Environment(variables)).parse_args(arguments)
+    parser = _build_parser(_Environment(variables))
+    parsed = parser.parse_args(arguments)
+    needs_operators = parsed.command == "status" or getattr(parsed, "wait", False)
+    if needs_operators and not _list_operators(parsed):
+        parser.error(f"{parsed.command} needs --operators or FIREFLYBRIDGE_OPERATORS")
     return Invocation(_build_command(parsed), parsed.json)
 
 
@@ -89,7 +94,11 @@
     publish.add_argument(
         "--restart", action="store_true", help="publish when the log lost the revision in force"
     )
-    _add_timeout(publish, environment, "20", "for the verdict")
+    publish.add_argument(
+        "--wait", action="store_true", help="wait until the daemons have the revision in force"
+    )
+    _add_operators(publish, environment)
+    _add_timeout(publish, environment, "20", "for the verdict, and again for the daemons")
     history.add_argument("--limit", type=_parse_count, default=20, help="revisions to list")
 
 
@@ -115,15 +124,7 @@
 
 def _add_status_parser(commands: Subparsers, environment: _Environment) -> None:
     status = _add_parser(commands, "status", "Ask daemons for their status.")
-    listed = [part for part in environment.get("OPERATORS").split(",") if part]
-    status.add_argument(
-        "--operators",
-        action="append",
-        metavar="IP:PORT",
-        help="operators' port, once for each daemon (FIREFLYBRIDGE_OPERATORS, comma-separated)",
-        required=not listed,
-    )
-    status.set_defaults(listed=listed)
+    _add_operators(status, environment)
     _add_timeout(status, environment, "5", "for each daemon")
 
 
@@ -145,6 +146,20 @@
     )
 
 
+def _add_operators(parser: argparse.ArgumentParser, environment: _Environment) -> None:
+    parser.add_argument(
+        "--operators",
+        action="extend",
+        nargs="+",
+        type=_parse_address,
+        default=[],
+        metavar="IP:PORT",
+        help="operators' ports of the daemons (FIREFLYBRIDGE_OPERATORS, comma-separated)",
+    )
+    listed = [part for part in environment.get("OPERATORS").split(",") if part]
+    parser.set_defaults(listed=listed)
+
+
 def _add_timeout(
     parser: argparse.ArgumentParser, environment: _Environment, default: str, purpose: str
 ) -> None:
@@ -165,12 +180,16 @@
         "submit": _build_submit,
         "fetch": lambda p: Fetch(p.daemon_url, p.key, p.wait_ms, p.timeout),
         "cancel": lambda p: Cancel(p.daemon_url, p.key, p.timeout),
-        "status": lambda p: Status(tuple(p.operators or p.listed), p.timeout),
+        "status": lambda p: Status(_list_operators(p), p.timeout),
         "replay": _build_replay,
     }
     return builders[parsed.command](parsed)
 
 
+def _list_operators(parsed: argparse.Namespace) -> tuple[str, ...]:
+    return tuple(parsed.operators or parsed.listed)
+
+
 def _build_publish(parsed: argparse.Namespace) -> Publish:
     return Publish(
         directory=parsed.directory,
@@ -179,6 +198,7 @@
         author=parsed.author or getpass.getuser(),
         timeout_s=parsed.timeout,
         restart=parsed.restart,
+        wait=Wait(_list_operators(parsed), parsed.timeout) if parsed.wait else None,
     )
 
 
@@ -209,6 +229,13 @@
     )
 
 
+def _parse_address(text: str) -> str:
+    host, _, port = text.rpartition(":")
+    if not (host and port.isascii() and port.isdigit()):
+        raise argparse.ArgumentTypeError(f"{text!r} is not IP:PORT")
+    return text
+
+
 def _parse_count(text: str) -> int:
     if not (text.isascii() and text.isdigit() and 1 <= int(text) <= 10**9):
         raise argparse.ArgumentTypeError(f"{text!r} is not a whole number from 1 to 10^9")
--- a/packages/cli/src/fireflybridge_cli/_commands.py
+++ b/packages/cli/src/fireflybridge_cli/_commands.py
@@ -18,12 +18,21 @@
     platform: str
 
 
+@dataclass(frozen=True, slots=True)
+class Wait:
+    """Name the operators' ports of daemons to wait for, up to ``timeout_s``."""
+
+    operators: tuple[str, ...]
+    timeout_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class Publish:
     """Publish the tables in a directory as a child of ``parent``.
 
     ``timeout_s`` bounds the wait for the revision's verdict after the append. ``restart`` publishes
-    when the log no longer shows which revision is in force.
+    when the log no longer shows which revision is in force. With ``wait`` the command also waits
+    until daemons have the revision in force.
     """
 
     directory: str
@@ -32,6 +41,7 @@
     author: str
     timeout_s: float
     restart: bool
+    wait: Wait | None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/cli/src/fireflybridge_cli/_report.py
+++ b/packages/cli/src/fireflybridge_cli/_report.py
@@ -19,6 +19,7 @@
     STALE_PARENT = 3
     NOT_DONE = 4
     UNKNOWN = 5
+    NOT_IN_FORCE = 6
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/cli/src/fireflybridge_cli/_tables_commands.py
+++ b/packages/cli/src/fireflybridge_cli/_tables_commands.py
@@ -23,6 +23,7 @@
 from fireflybridge_cli._report import ExitCode, Report, Row
 from fireflybridge_cli._rows import list_changes
 from fireflybridge_cli._stream import StreamView, read_to_end
+from fireflybridge_cli._wait import wait_in_force
 from fireflybridge_core import StepError
 from fireflybridge_platform import Log
 from fireflybridge_tables import (
@@ -103,7 +104,10 @@
         published_at=datetime.now(UTC).strftime("%Y-%m-%dT%H:%M:%SZ"),
         restart=command.restart,
     )
-    return _report_outcome(await publish_tables(log, proposal, command.timeout_s))
+    report = _report_outcome(await publish_tables(log, proposal, command.timeout_s))
+    if command.wait is None or report.code is not ExitCode.OK:
+        return report
+    return await wait_in_force(report, report.details["revision"], command.wait)
 
 
 def _report_outcome(outcome: PublishOutcome) -> Report:
