--- a/standins/src/fireflybridge_standins/capacity/__main__.py
+++ b/standins/src/fireflybridge_standins/capacity/__main__.py
@@ -12,7 +12,7 @@
 from fireflybridge_standins.capacity._plot import draw_plot
 from fireflybridge_standins.capacity._points import fit_lines
 from fireflybridge_standins.capacity._programs import read_import_mb
-from fireflybridge_standins.capacity._slopes import measure_slopes
+from fireflybridge_standins.capacity._slopes import AXES, measure_slopes
 from fireflybridge_standins.capacity.path import (
     ROOT,
     SIZES,
@@ -32,6 +32,7 @@
     parser.add_argument("--output", type=Path, default=ROOT / "docs" / "measurements")
     parser.add_argument("--tree", type=Path, default=ROOT, help="checkout to measure")
     parser.add_argument("--daemons", default="3,9,20,30")
+    parser.add_argument("--axes", default=",".join(AXES))
     parser.add_argument("--workers", default="24,240,1000")
     return parser.parse_args()
 
@@ -51,7 +52,7 @@
     daemons = [int(count) for count in arguments.daemons.split(",")]
     workers = [int(count) for count in arguments.workers.split(",")]
     points = []
-    for point in measure_slopes(import_mb, daemons, workers):
+    for point in measure_slopes(import_mb, arguments.axes.split(","), daemons, workers):
         print(json.dumps(asdict(point)), file=sys.stderr, flush=True)
         points.append(point)
     lines = fit_lines(points)
--- a/standins/src/fireflybridge_standins/capacity/_deployment.py
+++ b/standins/src/fireflybridge_standins/capacity/_deployment.py
@@ -112,7 +112,7 @@
         started = time.monotonic()
         revision = self.publish(tables)
         waiting = list(self.daemons)
-        with httpx.Client(trust_env=False) as client:
+        with httpx.Client(trust_env=False, timeout=READY_LIMIT_S) as client:
             while waiting:
                 waiting = [
                     daemon
@@ -134,7 +134,7 @@
         self._programs.end([*self.daemons, *self.workers, self.platform])
 
     def _is_serving(self) -> bool:
-        with httpx.Client(trust_env=False) as client:
+        with httpx.Client(trust_env=False, timeout=READY_LIMIT_S) as client:
             statuses = [_read_status(client, daemon) for daemon in self.daemons]
         owned = sum(len(pool["owned"]) for status in statuses for pool in status["pools"])
         wanted = sum(len(worker.ready["workers"]) for worker in self.workers)
--- a/standins/src/fireflybridge_standins/capacity/_points.py
+++ b/standins/src/fireflybridge_standins/capacity/_points.py
@@ -54,15 +54,17 @@
 
 def fit_lines(points: Sequence[Point]) -> tuple[Line, ...]:
     """Return the line of each quantity over each axis, idle and under load apart."""
-    groups: dict[tuple[str, bool], list[Point]] = {}
+    groups: dict[tuple[str, bool, str], list[Point]] = {}
     for point in points:
-        groups.setdefault((point.axis, point.starts_per_s > 0), []).append(point)
+        for quantity in QUANTITIES:
+            # A point holds 0 for what it did not measure.
+            if getattr(point, quantity) > 0:
+                key = (point.axis, point.starts_per_s > 0, quantity)
+                groups.setdefault(key, []).append(point)
     return tuple(
         fit_line(chosen, axis, quantity, loaded)
-        for (axis, loaded), chosen in groups.items()
+        for (axis, loaded, quantity), chosen in groups.items()
         if len({point.value for point in chosen}) > 1
-        for quantity in QUANTITIES
-        if any(getattr(point, quantity) for point in chosen)
     )
 
 
--- a/standins/src/fireflybridge_standins/capacity/_slopes.py
+++ b/standins/src/fireflybridge_standins/capacity/_slopes.py
@@ -2,7 +2,7 @@
 
 import statistics
 import time
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 
 import anyio
@@ -14,6 +14,7 @@
 
 SETTLE_S = 3.0
 WINDOW_S = 6.0
+AXES = ("daemons", "workers", "target", "tables", "kept")
 PUBLICATIONS = 5
 LOOP = {"use_uvloop": True}
 # Tasks of 0.5 s keep about 180 slots busy and give some 360 starts per second.
@@ -36,13 +37,19 @@
     appends: int
 
 
-def measure_slopes(import_mb: float, daemons: list[int], workers: list[int]) -> Iterator[Point]:
-    """Yield the points of every axis."""
-    yield from _measure_daemons(import_mb, daemons)
-    yield from _measure_workers(import_mb, workers)
-    yield from _measure_target(import_mb)
-    yield from _measure_tables(import_mb)
-    yield from _measure_kept(import_mb)
+def measure_slopes(
+    import_mb: float, axes: Sequence[str], daemons: list[int], workers: list[int]
+) -> Iterator[Point]:
+    """Yield the points of the chosen axes."""
+    measures = {
+        "daemons": lambda: _measure_daemons(import_mb, daemons),
+        "workers": lambda: _measure_workers(import_mb, workers),
+        "target": lambda: _measure_target(import_mb),
+        "tables": lambda: _measure_tables(import_mb),
+        "kept": lambda: _measure_kept(import_mb),
+    }
+    for axis in axes:
+        yield from measures[axis]()
 
 
 def _measure_daemons(import_mb: float, counts: list[int]) -> Iterator[Point]:
