Forward again what went to the session of a daemon's last incarnation

The first message to a restarted daemon still goes to the old session. A forwarded submission in it was answered as possibly run although the issuer, alive under a new incarnation, never saw it. The question is now asked again when the lost incarnation is not the executor. The new step of features/recovery.feature fails on the previous code (state 'failed' for 'complete').

--- a/features/recovery.feature
+++ b/features/recovery.feature
@@ -7,7 +7,8 @@
     And recovery sends SIGTERM to d1 under load that outlasts the drain delay
     Then recovery sees d1 exit with code 0 and every accepted request answered
     When recovery starts d1 again
-    And recovery sends SIGTERM twice to d1 while long work runs
+    Then recovery sees d2 forward to the restarted d1
+    When recovery sends SIGTERM twice to d1 while long work runs
     Then recovery sees d1 exit with code 0 and every caller answered
     And the submissions' answers agree with the start records
 
--- a/features/steps/recovery.py
+++ b/features/steps/recovery.py
@@ -84,6 +84,13 @@
     context.deployment.wait_serving()
 
 
+@then("recovery sees d2 forward to the restarted d1")
+def check_forwarding(context: Context) -> None:
+    # The first message to a restarted daemon still goes to the session of the old one.
+    request = make_request(2, prefix=context.deployment.make_prefix("d1"))
+    expect(context.ledger.ask("d2", request), state="complete")
+
+
 @when("recovery sends SIGTERM twice to {name} while long work runs")
 def terminate_twice(context: Context, name: str) -> None:
     prefix = context.deployment.make_prefix(name)
--- a/packages/daemon/src/fireflybridge_daemon/_forwarding.py
+++ b/packages/daemon/src/fireflybridge_daemon/_forwarding.py
@@ -85,7 +85,7 @@
         limit_s = (submission.deadline_s or DEFAULT_WAIT_S) + ANSWER_MARGIN_S
         span = self._tracer.begin("forward", submission.traceparent, SpanKind.CLIENT)
         forwarded = replace(submission, traceparent=find_context(span, submission.traceparent))
-        answer = await self._ask(peer, forwarded, digest, limit_s)
+        answer = await self._ask(peer, executor, forwarded, digest, limit_s)
         self._tracer.end(span, peer=peer, answer=type(answer).__name__)
         match answer:
             case Silent():
@@ -121,8 +121,18 @@
             waiter.answered.set()
 
     def drop_peer(self, lost: Lost) -> None:
-        """Wake the requests that a vanished incarnation of a peer will not answer."""
-        self.drop_silent(lost.peer)
+        """Settle the requests that a vanished incarnation of a peer will not answer.
+
+        A question for the incarnation that now runs under the name is asked again: it may have
+        gone to the old session. The executor answers a repeated question like a resubmission.
+        """
+        for request_id, waiter in self._waiting.items():
+            if waiter.peer != lost.peer:
+                continue
+            if waiter.executor in ("", lost.incarnation) or isinstance(
+                self._send(request_id, waiter), Err
+            ):
+                waiter.answered.set()
 
     def drop_silent(self, peer: str) -> None:
         """Wake the requests to a peer that is no longer heard.
@@ -144,7 +154,7 @@
         self, peer: str, question: Submission, found: list[Answer], scope: anyio.CancelScope
     ) -> None:
         limit_s = (question.deadline_s or 0.0) + QUERY_WAIT_S
-        answer = await self._ask(peer, question, NO_DIGEST, limit_s)
+        answer = await self._ask(peer, "", question, NO_DIGEST, limit_s)
         match answer:
             case Silent() | Unsent() | Refused(problem=Problem.NOT_FOUND):
                 return
@@ -153,13 +163,13 @@
                 scope.cancel()
 
     async def _ask(
-        self, peer: str, submission: Submission, digest: bytes, limit_s: float
+        self, peer: str, executor: str, submission: Submission, digest: bytes, limit_s: float
     ) -> Answer | Silent | Unsent:
         request_id = next(self._requests)
-        waiter = _Waiter(peer)
+        waiter = _Waiter(peer, executor, digest, submission)
         self._waiting[request_id] = waiter
         try:
-            if isinstance(self._directory.send(peer, Fetch(request_id, digest, submission)), Err):
+            if isinstance(self._send(request_id, waiter), Err):
                 return Unsent()
             with anyio.move_on_after(limit_s):
                 await waiter.answered.wait()
@@ -167,12 +177,22 @@
         finally:
             del self._waiting[request_id]
 
+    def _send(self, request_id: int, waiter: "_Waiter") -> Result[None, SendFailure]:
+        fetch = Fetch(request_id, waiter.digest, waiter.submission)
+        return self._directory.send(waiter.peer, fetch)
+
 
 class _Waiter:
-    """Hold a request until the peer's answer arrives."""
+    """Hold a request until the peer's answer arrives.
+
+    ``executor`` is the only incarnation that can answer, or empty.
+    """
 
-    def __init__(self, peer: str) -> None:
+    def __init__(self, peer: str, executor: str, digest: bytes, submission: Submission) -> None:
         self.peer = peer
+        self.executor = executor
+        self.digest = digest
+        self.submission = submission
         self.answered = anyio.Event()
         self.answer: Answer | None = None
 
