Ask for the host list under its tag, and keep idle ownership cheap

Change: conditional reads (If-None-Match, 304), an unchanged list is the same tuple and skipped; resources are made once a revision and pools are left alone while nothing changed; removed slots leave the heap lazily.

--- a/Makefile
+++ b/Makefile
@@ -2,11 +2,13 @@
 
 PYTHON ?= python3.11
 VENV ?= .venv
+SEED ?= 1
+RUNS ?= 10
 BIN = $(VENV)/bin
 MEMBERS = $(wildcard packages/*) standins
 CODE = packages standins features demo bench
 
-.PHONY: setup lint format test bench demo clean
+.PHONY: setup lint format test explore capacity bench demo clean
 
 setup: $(VENV)/.installed
 
@@ -28,6 +30,12 @@
 test: setup
 	$(BIN)/python features/run.py
 
+explore: setup
+	$(BIN)/python features/explore.py --seed $(SEED) --runs $(RUNS)
+
+capacity: setup
+	$(BIN)/python -m fireflybridge_standins.capacity
+
 bench: setup
 	PYTHONPATH=features $(BIN)/python bench/run.py $(BENCH)
 
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -38,6 +38,13 @@
     Given a platform stand-in with "--append-latency-ms 200"
     Then 1 platform appends in parallel take at least 0.2 s
 
+  # Guards against reading the whole list each second: 108 KB/s at 1,027 hosts.
+  Scenario: An unchanged host list is not sent again
+    Given a platform stand-in
+    When the platform lists entry host "e1" at "127.0.0.1:4000" as live
+    Then a client that reads the platform's host list twice gets the same list without a second body
+    And a client that reads it before and after host "e2" replaces it gets both lists
+
   Scenario: The host list is the one that was set last
     Given a platform stand-in
     When the platform lists entry host "e1" at "127.0.0.1:4000" as live
--- a/features/steps/platform.py
+++ b/features/steps/platform.py
@@ -275,3 +275,33 @@
         anyio.run(call_all)
 
     check()
+
+
+def read_twice(address: str, between: Callable[[], None]) -> tuple[Any, Any]:
+    """Read the host list twice with one client, with an action in between."""
+
+    async def run() -> tuple[Any, Any]:
+        async with HttpHostList(f"http://{address}", read_timeout_s=LONG_LIMIT_S) as hosts:
+            first = await hosts.list_hosts()
+            between()
+            return first.unwrap(), (await hosts.list_hosts()).unwrap()
+
+    return anyio.run(run)
+
+
+@then("a client that reads the platform's host list twice gets the same list without a second body")
+def step_hosts_unchanged(context: Context) -> None:
+    first, second = read_twice(context.platform.address, lambda: None)
+    assert first
+    # A decoded body would be another tuple, even with the same hosts.
+    assert first is second
+
+
+@then('a client that reads it before and after host "{name}" replaces it gets both lists')
+def step_hosts_changed(context: Context, name: str) -> None:
+    address = context.platform.address
+    first, second = read_twice(
+        address, lambda: step_set_hosts(context, name, "127.0.0.1:4001", "live")
+    )
+    assert [host.name for host in first] == ["e1"], first
+    assert [host.name for host in second] == [name], second
--- a/packages/daemon/src/fireflybridge_daemon/_peering.py
+++ b/packages/daemon/src/fireflybridge_daemon/_peering.py
@@ -48,6 +48,7 @@
     TablesSend,
 )
 from fireflybridge_platform import Host, HostList, HostRole, HostState
+from fireflybridge_tables import Pool
 from fireflybridge_telemetry import Event, Metrics, log_event
 
 TICK_S = 0.25
@@ -89,6 +90,10 @@
         self._differs_since: dict[str, float] = {}
         self._live: frozenset[str] = frozenset()
         self._connected: frozenset[str] = frozenset()
+        self._listed: tuple[Host, ...] | None = None
+        self._pools: tuple[Pool, ...] = ()
+        self._resources: tuple[Resource, ...] = ()
+        self._served: tuple[frozenset[tuple[str, str]], frozenset[str]] | None = None
         self._handlers: Handlers | None = None
         callbacks = LinkCallbacks(
             handle=self._handle,
@@ -136,19 +141,28 @@
         self._live = live
 
     def update_ownership(self) -> None:
-        """Serve exactly the upstreams that this daemon owns now."""
+        """Serve exactly the upstreams that this daemon owns now.
+
+        Called several times a second: what depends only on the tables is made once a revision, and
+        the pools are left alone while nothing has changed.
+        """
         now = self._clock()
         runners = self._configuration.runners
-        self._membership.set_upstreams(
-            (
+        pools = tuple(runner.pool for runner in runners)
+        if pools != self._pools:
+            self._pools = pools
+            self._resources = tuple(
                 Resource(upstream.name, upstream.failure_domain, upstream.address)
-                for runner in runners
-                for upstream in runner.pool.upstreams
-            ),
-            now,
-        )
-        owned = {(r.name, r.address) for r in self._membership.list_upstreams(now)}
+                for pool in pools
+                for upstream in pool.upstreams
+            )
+            self._served = None
+            self._membership.set_upstreams(self._resources, now)
+        owned = frozenset((r.name, r.address) for r in self._membership.list_upstreams(now))
         leaving = self._membership.view(now).leaving_upstreams
+        if self._served == (owned, leaving):
+            return
+        self._served = (owned, leaving)
         for runner in runners:
             staying = [
                 upstream
@@ -215,6 +229,8 @@
         return [(d.name, self._beats[d.name]) for d in live if d.name in self._beats]
 
     def _apply_hosts(self, hosts: tuple[Host, ...]) -> None:
+        if hosts is self._listed:
+            return
         records = tuple(
             MemberRecord(
                 name=host.name,
@@ -229,6 +245,7 @@
         if not isinstance(verdict, Applied):
             log_event(Event.HOST_LIST_IGNORED, verdict=repr(verdict))
             return
+        self._listed = hosts
         wanted = {peer.name: peer for peer in self._membership.list_peers()}
         for name in self._connected - wanted.keys():
             self._links.disconnect(name)
--- a/packages/dispatch/src/fireflybridge_dispatch/_takers.py
+++ b/packages/dispatch/src/fireflybridge_dispatch/_takers.py
@@ -11,6 +11,7 @@
 SLOW_PACE = 0.2  # logarithm of the ratio to the mean pace, about a fifth slower
 FASTER_WAIT_S = 0.1  # longest wait of a new task for a faster slot while a slow one is free
 FASTER_GAIN = 2.0  # a faster slot is faster than the mean as well
+SPARE_ENTRIES = 64  # removed slots kept in the heap, beside as many as wait
 PACE_GAIN = 0.05  # of each new run; about 20 runs settle an upstream's pace
 
 
@@ -34,39 +35,46 @@
 
 
 class Takers:
-    """Hold waiting slots, those of the fastest upstream first."""
+    """Hold waiting slots, those of the fastest upstream first.
+
+    A removed slot stays in the heap until it comes first, or until such entries are the most:
+    rebuilding the heap at each removal took 8 s when a daemon gave up 1,000 upstreams.
+    """
 
     def __init__(self) -> None:
+        self._waiting: dict[Taker, None] = {}
         self._heap: list[tuple[float, int, Taker]] = []
         self._serial = count()
         self._paces: dict[str, float] = {}
         self._pace_sum = 0.0
 
     def __len__(self) -> int:
-        return len(self._heap)
+        return len(self._waiting)
 
     def add(self, upstream: str) -> Taker:
         """Return a new waiting slot of an upstream."""
         taker = Taker(upstream)
         pace = self._paces.get(upstream, 0.0)
         heapq.heappush(self._heap, (pace, next(self._serial), taker))
+        self._waiting[taker] = None
         return taker
 
     def list_fastest(self) -> list[Taker]:
         """Return the waiting slots, fastest upstream first."""
-        return [taker for _, _, taker in sorted(self._heap)]
+        return [taker for _, _, taker in sorted(self._heap) if taker in self._waiting]
 
     def find_fastest(self) -> Taker:
         """Return the waiting slot of the fastest upstream."""
+        while self._heap[0][2] not in self._waiting:
+            heapq.heappop(self._heap)
         return self._heap[0][2]
 
     def remove(self, taker: Taker) -> None:
         """Forget a slot that got a task or was cancelled."""
-        if self._heap[0][2] is taker:
-            heapq.heappop(self._heap)
-            return
-        self._heap = [entry for entry in self._heap if entry[2] is not taker]
-        heapq.heapify(self._heap)
+        del self._waiting[taker]
+        if len(self._heap) > 2 * len(self._waiting) + SPARE_ENTRIES:
+            self._heap = [entry for entry in self._heap if entry[2] in self._waiting]
+            heapq.heapify(self._heap)
 
     def learn_pace(self, upstream: str, run_s: float, typical_s: float) -> None:
         """Learn from a run how much slower than typical an upstream is (logarithm of the ratio)."""
--- a/packages/platform/src/fireflybridge_platform/_http.py
+++ b/packages/platform/src/fireflybridge_platform/_http.py
@@ -41,10 +41,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Answer:
-    """Hold the status and the whole body of an answer."""
+    """Hold the status, the whole body and the entity tag of an answer."""
 
     status: int
     body: bytes
+    etag: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,14 +131,21 @@
         *,
         content: bytes | None = None,
         query: Mapping[str, int] | None = None,
+        etag: str = "",
     ) -> Exchange:
         """Send one request and read its whole answer within ``limit_s`` seconds."""
         connect_s = min(self._connect_timeout_s, limit_s)
+        headers = {"if-none-match": etag} if etag else None
         timeout = httpx.Timeout(limit_s, connect=connect_s, pool=connect_s)
         try:
             with anyio.fail_after(limit_s):
                 async with self._client.stream(
-                    method, self.base_url + path, content=content, params=query, timeout=timeout
+                    method,
+                    self.base_url + path,
+                    content=content,
+                    params=query,
+                    headers=headers,
+                    timeout=timeout,
                 ) as response:
                     return await self._read_answer(response)
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
@@ -153,7 +161,7 @@
             body += chunk
             if len(body) > self._max_answer_bytes:
                 return Unanswered(f"the answer exceeds {self._max_answer_bytes} bytes")
-        return Answer(response.status_code, bytes(body))
+        return Answer(response.status_code, bytes(body), response.headers.get("etag", ""))
 
 
 class HttpLog:
@@ -207,7 +215,11 @@
 
 
 class HttpHostList:
-    """Reach the host list; implements ``HostList``. Time limits are seconds for a whole call."""
+    """Reach the host list; implements ``HostList``. Time limits are seconds for a whole call.
+
+    The list is asked for under the entity tag of the last one: reading 1,027 hosts whole each second
+    took 108 KB/s. An unchanged list is returned as the same tuple.
+    """
 
     def __init__(
         self,
@@ -219,6 +231,8 @@
     ) -> None:
         self._connection = _Connection(base_url, connect_timeout_s, max_answer_bytes)
         self._read_timeout_s = read_timeout_s
+        self._etag = ""
+        self._hosts: tuple[Host, ...] = ()
 
     async def __aenter__(self) -> Self:
         return self
@@ -233,8 +247,19 @@
 
     async def list_hosts(self) -> Result[tuple[Host, ...], StepError]:
         """Return every live and leaving host."""
-        exchange = await self._connection.exchange("GET", "/v1/hosts", self._read_timeout_s)
-        return decode_hosts(exchange, self._connection.base_url)
+        exchange = await self._connection.exchange(
+            "GET", "/v1/hosts", self._read_timeout_s, etag=self._etag
+        )
+        match exchange:
+            case Answer(status=304) if self._etag:
+                return Ok(self._hosts)
+            case Answer(etag=etag):
+                decoded = decode_hosts(exchange, self._connection.base_url)
+                if isinstance(decoded, Ok):
+                    self._etag, self._hosts = etag, decoded.ok_value
+                return decoded
+            case _:
+                return decode_hosts(exchange, self._connection.base_url)
 
 
 def classify_append(exchange: Exchange, peer: str) -> Result[int, AppendFailure]:
--- a/standins/src/fireflybridge_standins/platform/_server.py
+++ b/standins/src/fireflybridge_standins/platform/_server.py
@@ -54,19 +54,22 @@
     body = await read_body(receive)
     if body is None:
         return
+    known_etag = dict(scope["headers"]).get(b"if-none-match", b"").decode("latin-1")
     query = scope["query_string"].decode("ascii", "replace")
-    request = make_request(scope["method"], scope["path"], query, body)
+    request = make_request(scope["method"], scope["path"], query, body, known_etag)
     reply: Reply
     if request.path.startswith("/control/"):
         reply = handle_control(platform, request)
     else:
         reply = await handle_request(platform, request)
     match reply:
-        case Answer(status, content):
+        case Answer(status, content, etag):
             headers = [
                 (b"content-type", b"application/json"),
                 (b"content-length", str(len(content)).encode()),
             ]
+            if etag:
+                headers.append((b"etag", etag.encode()))
             await send({"type": "http.response.start", "status": status, "headers": headers})
             await send({"type": "http.response.body", "body": content})
         case NoAnswer():
--- a/standins/src/fireflybridge_standins/platform/_service.py
+++ b/standins/src/fireflybridge_standins/platform/_service.py
@@ -1,6 +1,7 @@
 """Serve the platform's protocol under ``/v1``."""
 
 import re
+import zlib
 from dataclasses import dataclass, field
 from urllib.parse import parse_qsl
 
@@ -33,6 +34,7 @@
 
     status: int
     body: bytes
+    etag: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +54,7 @@
     query: str
     body: bytes
     viewer: str = ""
+    known_etag: str = ""
 
 
 @dataclass(slots=True)
@@ -71,12 +74,12 @@
     host_reads: int = 0
 
 
-def make_request(method: str, path: str, query: str, body: bytes) -> Request:
+def make_request(method: str, path: str, query: str, body: bytes, known_etag: str) -> Request:
     """Return the request with the name of its viewer taken out of the path."""
     viewed = VIEW_PATH.fullmatch(path)
     if viewed is None:
-        return Request(method, path, query, body)
-    return Request(method, viewed[2], query, body, viewed[1])
+        return Request(method, path, query, body, known_etag=known_etag)
+    return Request(method, viewed[2], query, body, viewed[1], known_etag)
 
 
 def make_problem(status: int, detail: str) -> Answer:
@@ -126,7 +129,14 @@
         case Operation.HOSTS:
             platform.host_reads += 1
             hosts = platform.views.get(request.viewer, platform.hosts)
-            return Answer(200, msgspec.json.encode(hosts))
+            return _answer_hosts(hosts, request.known_etag)
+
+
+def _answer_hosts(hosts: HostsBody, known_etag: str) -> Answer:
+    """Answer 304 to a client that has the list already (RFC 9110, section 13.1.2)."""
+    body = msgspec.json.encode(hosts)
+    etag = f'"{zlib.crc32(body):08x}"'
+    return Answer(304, b"", etag) if etag == known_etag else Answer(200, body, etag)
 
 
 async def _append(platform: Platform, stream: str, payload: bytes) -> Answer:
