Use the field's word for the peak in the bench, behind one public module

Cause: the bench used a word of its own for the peak of a burst, and run.py imported private modules. Change: names only.

--- a/bench/run.py
+++ b/bench/run.py
@@ -13,25 +13,25 @@
 from support.deployment import Deployment, Plan
 from support.processes import Processes
 
-from fireflybridge_standins.bench._baselines import (
+from fireflybridge_standins.bench import (
+    KINDS,
+    PEAK_END_SHARE,
+    PEAK_START_SHARE,
+    SLOTS_PER_WORKER,
+    SPEEDS,
+    WORKERS,
     Baseline,
     LeastOutstanding,
     OneFifo,
     RandomChoice,
     RoundRobin,
-)
-from fireflybridge_standins.bench._plot import plot_summaries
-from fireflybridge_standins.bench._replay import replay_baseline, replay_daemons
-from fireflybridge_standins.bench._results import Summary, summarize
-from fireflybridge_standins.bench._trace import (
-    CREST_END_SHARE,
-    CREST_START_SHARE,
-    KINDS,
-    SLOTS_PER_WORKER,
-    SPEEDS,
-    WORKERS,
+    Summary,
     digest_trace,
     make_trace,
+    plot_summaries,
+    replay_baseline,
+    replay_daemons,
+    summarize,
 )
 
 RESULTS = Path(__file__).parent / "results"
@@ -90,7 +90,7 @@
 def run_one(deployment: Deployment, policy: str, load: float, seed: int, seconds: float) -> Summary:
     """Replay one trace under one policy."""
     jobs = make_trace(seed, load, seconds)
-    crest_s = (CREST_END_SHARE - CREST_START_SHARE) * seconds
+    peak_s = (PEAK_END_SHARE - PEAK_START_SHARE) * seconds
     pids = [program.pid for program in deployment.daemons.values()]
     if policy in BASELINES:
         addresses = list(deployment.worker_addresses.values())
@@ -107,17 +107,17 @@
             partial(replay_daemons, jobs, addresses, seed), backend_options={"use_uvloop": True}
         )
         cpu_s, wasted = read_cpu_s(pids) - before_s, count_wasted(deployment) - wasted
-    return summarize(policy, load, seed, crest_s, results, wasted, cpu_s)
+    return summarize(policy, load, seed, peak_s, results, wasted, cpu_s)
 
 
 def print_row(summary: Summary) -> None:
     """Print one line of the table."""
-    bound = summary.crest_goodput_s / max(1e-9, summary.crest_bound_s)
+    bound = summary.peak_goodput_s / max(1e-9, summary.peak_bound_s)
     short = " ".join(f"{value:7.2f}" for value in summary.short)
     long = " ".join(f"{value:7.2f}" for value in summary.long)
     print(
         f"{summary.load:4.1f} {summary.seed:4d} {summary.policy:18s} {summary.jobs:5d} "
-        f"{summary.crest_service:7.3f} {bound:7.3f} {summary.refused:7.3f}  {short}  {long} "
+        f"{summary.peak_service:7.3f} {bound:7.3f} {summary.refused:7.3f}  {short}  {long} "
         f"{summary.wasted_per_task:7.4f} {summary.cpu_us_per_task:7.0f}",
         flush=True,
     )
--- a/standins/src/fireflybridge_standins/bench/__init__.py
+++ b/standins/src/fireflybridge_standins/bench/__init__.py
@@ -1,1 +1,43 @@
 """Replays recorded traces against daemons and against baseline dispatchers."""
+
+from fireflybridge_standins.bench._baselines import (
+    Baseline,
+    LeastOutstanding,
+    OneFifo,
+    RandomChoice,
+    RoundRobin,
+)
+from fireflybridge_standins.bench._plot import plot_summaries
+from fireflybridge_standins.bench._replay import replay_baseline, replay_daemons
+from fireflybridge_standins.bench._results import Summary, summarize
+from fireflybridge_standins.bench._trace import (
+    KINDS,
+    PEAK_END_SHARE,
+    PEAK_START_SHARE,
+    SLOTS_PER_WORKER,
+    SPEEDS,
+    WORKERS,
+    digest_trace,
+    make_trace,
+)
+
+__all__ = [
+    "KINDS",
+    "PEAK_END_SHARE",
+    "PEAK_START_SHARE",
+    "SLOTS_PER_WORKER",
+    "SPEEDS",
+    "WORKERS",
+    "Baseline",
+    "LeastOutstanding",
+    "OneFifo",
+    "RandomChoice",
+    "RoundRobin",
+    "Summary",
+    "digest_trace",
+    "make_trace",
+    "plot_summaries",
+    "replay_baseline",
+    "replay_daemons",
+    "summarize",
+]
--- a/standins/src/fireflybridge_standins/bench/_plot.py
+++ b/standins/src/fireflybridge_standins/bench/_plot.py
@@ -14,7 +14,7 @@
 
 
 def plot_summaries(summaries: Sequence[Summary], path: Path) -> None:
-    """Write one picture: service at the crest and p99 of short responses over load."""
+    """Write one picture: service at the peak and p99 of short responses over load."""
     figure, (service, short) = pyplot.subplots(1, 2, figsize=(11, 4))
     for policy in dict.fromkeys(summary.policy for summary in summaries):
         rows = [summary for summary in summaries if summary.policy == policy]
@@ -22,7 +22,7 @@
         means = [[row for row in rows if row.load == load] for load in loads]
         service.plot(
             loads,
-            [statistics.fmean(row.crest_service for row in group) for group in means],
+            [statistics.fmean(row.peak_service for row in group) for group in means],
             marker="o",
             label=policy,
         )
@@ -32,7 +32,7 @@
             marker="o",
             label=policy,
         )
-    service.set(xlabel="load over capacity", ylabel="service at the crest", ylim=(0, 1.05))
+    service.set(xlabel="load over capacity", ylabel="service at the peak", ylim=(0, 1.05))
     short.set(xlabel="load over capacity", ylabel="short jobs: p99 of response over ideal")
     short.set_yscale("log")
     service.legend()
--- a/standins/src/fireflybridge_standins/bench/_results.py
+++ b/standins/src/fireflybridge_standins/bench/_results.py
@@ -1,4 +1,4 @@
-"""Figures of a replay: service at the crest, response against the ideal, wasted messages."""
+"""Figures of a replay: service at the peak, response against the ideal, wasted messages."""
 
 import statistics
 from collections.abc import Sequence
@@ -37,9 +37,9 @@
     load: float
     seed: int
     jobs: int
-    crest_service: float
-    crest_goodput_s: float
-    crest_bound_s: float
+    peak_service: float
+    peak_goodput_s: float
+    peak_bound_s: float
     refused: float
     short: tuple[float, float, float, float]
     long: tuple[float, float, float, float]
@@ -47,38 +47,38 @@
     cpu_us_per_task: float
 
 
-def bound_goodput(crest_jobs: Sequence[TraceJob], crest_s: float) -> float:
+def bound_goodput(peak_jobs: Sequence[TraceJob], peak_s: float) -> float:
     """Return the most work, in seconds at speed 1, that any admission could answer in time.
 
-    It takes the smallest jobs first until their work fills what all slots can do during the crest
+    It takes the smallest jobs first until their work fills what all slots can do during the peak
     and the longest window after it; a job that is cut by the limit counts in part. No real policy
-    reaches it: it ignores windows, the jobs outside the crest and the length of single tasks.
+    reaches it: it ignores windows, the jobs outside the peak and the length of single tasks.
     """
-    longest_window_s = max((job.kind.window_ms for job in crest_jobs), default=0) / 1000
-    room_s = find_capacity() * (crest_s + longest_window_s)
-    return min(room_s, sum(job.work_s for job in crest_jobs))
+    longest_window_s = max((job.kind.window_ms for job in peak_jobs), default=0) / 1000
+    room_s = find_capacity() * (peak_s + longest_window_s)
+    return min(room_s, sum(job.work_s for job in peak_jobs))
 
 
 def summarize(
     policy: str,
     load: float,
     seed: int,
-    crest_s: float,
+    peak_s: float,
     results: Sequence[JobResult],
     wasted: float,
     cpu_s: float,
 ) -> Summary:
     """Return the figures of one replay."""
-    crest = [result for result in results if result.job.in_crest]
+    peak = [result for result in results if result.job.in_peak]
     tasks = sum(len(result.job.run_ms) for result in results)
     return Summary(
         policy=policy,
         load=load,
         seed=seed,
         jobs=len(results),
-        crest_service=sum(result.in_window for result in crest) / max(1, len(crest)),
-        crest_goodput_s=sum(result.job.work_s for result in crest if result.in_window),
-        crest_bound_s=bound_goodput([result.job for result in crest], crest_s),
+        peak_service=sum(result.in_window for result in peak) / max(1, len(peak)),
+        peak_goodput_s=sum(result.job.work_s for result in peak if result.in_window),
+        peak_bound_s=bound_goodput([result.job for result in peak], peak_s),
         refused=sum(result.refused for result in results) / max(1, len(results)),
         short=describe([r.ratio for r in results if r.answered and not r.job.kind.long]),
         long=describe([r.ratio for r in results if r.answered and r.job.kind.long]),
--- a/standins/src/fireflybridge_standins/bench/_trace.py
+++ b/standins/src/fireflybridge_standins/bench/_trace.py
@@ -1,4 +1,4 @@
-"""Seeded traces of one swing in demand, from the figures of the partners' workloads."""
+"""Seeded traces of one burst in demand, from the figures of the partners' workloads."""
 
 import hashlib
 import random
@@ -11,8 +11,8 @@
 SPEEDS = (0.6, 1.0, 1.8)
 TEAMS = ("registration", "finance", "volunteers")
 BASE_LOAD = 0.4
-CREST_START_SHARE = 0.25
-CREST_END_SHARE = 0.65
+PEAK_START_SHARE = 0.25
+PEAK_END_SHARE = 0.65
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,7 +47,7 @@
     kind: Kind
     team: str
     run_ms: tuple[int, ...]
-    in_crest: bool
+    in_peak: bool
 
     @property
     def work_s(self) -> float:
@@ -66,16 +66,16 @@
 
 
 def make_trace(seed: int, load: float, duration_s: float) -> tuple[TraceJob, ...]:
-    """Return the jobs of one swing whose crest offers ``load`` times the capacity."""
+    """Return the jobs of one burst whose peak offers ``load`` times the capacity."""
     draw = random.Random(seed)
-    crest = (CREST_START_SHARE * duration_s, CREST_END_SHARE * duration_s)
+    peak = (PEAK_START_SHARE * duration_s, PEAK_END_SHARE * duration_s)
     jobs: list[TraceJob] = []
     at_s = 0.0
     while at_s < duration_s:
-        in_crest = crest[0] <= at_s < crest[1]
-        job = _draw_job(draw, at_s, in_crest)
+        in_peak = peak[0] <= at_s < peak[1]
+        job = _draw_job(draw, at_s, in_peak)
         jobs.append(job)
-        rate = find_capacity() * (load if in_crest else min(load, BASE_LOAD))
+        rate = find_capacity() * (load if in_peak else min(load, BASE_LOAD))
         at_s += draw.expovariate(rate / _MEAN_WORK_S)
     return tuple(jobs)
 
@@ -86,12 +86,12 @@
     return hashlib.sha256(text.encode()).hexdigest()[:16]
 
 
-def _draw_job(draw: random.Random, at_s: float, in_crest: bool) -> TraceJob:
+def _draw_job(draw: random.Random, at_s: float, in_peak: bool) -> TraceJob:
     kind = draw.choices(KINDS, [kind.share for kind in KINDS])[0]
     # Small jobs are common: the square leaves few jobs near the largest size.
     tasks = 1 + int(draw.random() ** 2 * kind.max_tasks)
     run_ms = tuple(_draw_run_ms(draw, kind) for _ in range(tasks))
-    return TraceJob(at_s, kind, draw.choice(TEAMS), run_ms, in_crest)
+    return TraceJob(at_s, kind, draw.choice(TEAMS), run_ms, in_peak)
 
 
 def _draw_run_ms(draw: random.Random, kind: Kind) -> int:
