Split the submissions of the daemon by matter

Change: the interfaces it needs, the making of tasks and the refusals are modules of their own; behaviour stays.

--- a/packages/daemon/src/fireflybridge_daemon/_daemon.py
+++ b/packages/daemon/src/fireflybridge_daemon/_daemon.py
@@ -14,12 +14,13 @@
 from fireflybridge_daemon._claiming import Claims
 from fireflybridge_daemon._configuration import Configuration
 from fireflybridge_daemon._forwarding import Forwarding
+from fireflybridge_daemon._interfaces import Identity
 from fireflybridge_daemon._jobs import JobBook
 from fireflybridge_daemon._mover import Mover
 from fireflybridge_daemon._peering import Handlers, Peering
 from fireflybridge_daemon._pools import PoolHooks, PoolRunner
 from fireflybridge_daemon._settings import Settings
-from fireflybridge_daemon._submissions import Identity, Submissions
+from fireflybridge_daemon._submissions import Submissions
 from fireflybridge_front import CallersApp, OperatorsApp, serve_app
 from fireflybridge_peers import LinkSettings
 from fireflybridge_platform import HttpHostList, HttpLog
--- a/packages/daemon/src/fireflybridge_daemon/_jobs.py
+++ b/packages/daemon/src/fireflybridge_daemon/_jobs.py
@@ -49,6 +49,12 @@
             self.finished.set()
         return True
 
+    async def wait(self) -> Complete | Failed:
+        """Wait until every task has an outcome and return the answer."""
+        await self.finished.wait()
+        assert self.answer is not None
+        return self.answer
+
     def is_open(self, index: int) -> bool:
         """Tell whether a task has no outcome yet and its submission was not cancelled."""
         return not self.cancelled and self._outcomes[index] is None
--- a/packages/daemon/src/fireflybridge_daemon/_submissions.py
+++ b/packages/daemon/src/fireflybridge_daemon/_submissions.py
@@ -3,8 +3,6 @@
 import itertools
 import time
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
-from typing import Protocol
 
 import anyio
 from anyio.abc import TaskGroup
@@ -48,65 +46,22 @@
     StepError,
     Submission,
     Task,
-    TaskId,
-    digest_content,
     hash_key,
 )
 from fireflybridge_daemon._forwarding import fail_unknown
+from fireflybridge_daemon._interfaces import Catalogue, Claimer, Forwarder, Identity
 from fireflybridge_daemon._jobs import Claiming, Given, Job, JobBook, Kept, Running
 from fireflybridge_daemon._pools import PoolRunner
+from fireflybridge_daemon._refusals import refuse_conflict, refuse_gone, refuse_undecided
+from fireflybridge_daemon._tasks import digest_submission, make_tasks
 from fireflybridge_daemon._waits import Waits
 from fireflybridge_dispatch import Refused as NotAdmitted
 from fireflybridge_front import IssuedPrefix
-from fireflybridge_tables import Route
 from fireflybridge_telemetry import Metrics, SpanKind, Tracer
 
 UNKEYED_PREFIX = "fbu-"
 SHUTTING_DOWN = StepError("submissions.claim", "this daemon", "shutting down")
 RETRY_ELSEWHERE_S = 1.0
-LOG_DOWN_HINT = "use a key under a prefix from POST /v1/key-prefixes, which needs no log"
-
-
-class Claimer(Protocol):
-    """Decide claims of chosen keys."""
-
-    async def claim(self, claim: Claim) -> Decision:
-        """Return the decision on a claim."""
-
-
-class Forwarder(Protocol):
-    """Reach the daemon that alone may start a submission."""
-
-    async def forward(self, executor: str, submission: Submission, digest: bytes) -> Answer:
-        """Return the executor's answer, or a refusal when it can't be reached."""
-
-    async def query(self, key: str, wait_s: float) -> Answer:
-        """Return the answer that some other daemon holds for a key."""
-
-    def cancel(self, key: str) -> None:
-        """Cancel the tasks of a submission that other daemons have not started."""
-
-
-class Catalogue(Protocol):
-    """Look up the tables in force."""
-
-    @property
-    def loaded(self) -> bool:
-        """Tell whether any tables are in force."""
-
-    def find(self, route: str) -> tuple[Route, PoolRunner] | None:
-        """Return a route in force with the runner of its pool."""
-
-    def find_runner(self, pool: str) -> PoolRunner | None:
-        """Return the runner of a pool, also of one that has left the tables."""
-
-
-@dataclass(frozen=True, slots=True)
-class Identity:
-    """Name this run of the daemon and its time limits in seconds."""
-
-    incarnation: str
-    retention_s: float
 
 
 class Submissions:
@@ -353,8 +308,7 @@
             case RefuseConflict():
                 return refuse_conflict()
             case RefuseUnavailable(error=error, retry_after_s=retry_after_s):
-                detail = f"{error}; {LOG_DOWN_HINT}"
-                return Refused(Problem.LOG_UNAVAILABLE, Ran.MAY_HAVE_RUN, detail, retry_after_s)
+                return refuse_undecided(error, retry_after_s)
             case RefuseMayHaveRun() | AskExecutor() | Start() | Join() | Drop():
                 return refuse_gone(Problem.EXECUTOR_GONE, "an earlier attempt may have run")
 
@@ -440,50 +394,5 @@
                 return Ran.MAY_HAVE_RUN
 
 
-def digest_submission(submission: Submission) -> bytes:
-    """Return the digest that tells a resubmission from other content under the same key."""
-    parts = itertools.chain.from_iterable(
-        (payload.content_type.encode(), payload.body) for payload in submission.payloads
-    )
-    return digest_content((submission.route.encode(), submission.team.encode(), *parts))
-
-
-def make_tasks(key: str, submission: Submission, route: Route, now: float) -> tuple[Task, ...]:
-    """Return the tasks of a submission accepted at ``now`` on the monotonic clock."""
-    allowed_s = submission.deadline_s or route.window_ms / 1000
-    return tuple(
-        Task(
-            id=TaskId(key, index),
-            route=route.name,
-            pool=route.pool,
-            path=route.path,
-            content_type=payload.content_type,
-            body=payload.body,
-            team=submission.team,
-            idempotent=route.idempotent and not submission.is_job,
-            expected_s=route.expected_ms / 1000,
-            timeout_s=route.timeout_ms / 1000,
-            deadline=now + allowed_s,
-            traceparent=submission.traceparent,
-        )
-        for index, payload in enumerate(submission.payloads)
-    )
-
-
-def refuse_conflict() -> Refused:
-    """Return the refusal of a key that belongs to other content."""
-    detail = "the key was used with other content; the earlier submission may have run"
-    return Refused(Problem.CONFLICT, Ran.MAY_HAVE_RUN, detail)
-
-
-def refuse_gone(problem: Problem, detail: str) -> Refused:
-    """Return the refusal of a submission that an unreachable or past executor may have run."""
-    return Refused(problem, Ran.MAY_HAVE_RUN, detail)
-
-
 async def _await_answer(opened: Job | Answer) -> Answer:
-    if not isinstance(opened, Job):
-        return opened
-    await opened.finished.wait()
-    assert opened.answer is not None
-    return opened.answer
+    return await opened.wait() if isinstance(opened, Job) else opened
