Let one piece serve where two stood

Cause: the platform's two clients each had the same context manager, the first status of a server error was named twice, and JobBook.kept_bytes had no caller. Change: a common base class, one exported constant, the dead property removed; behaviour stays. Conclusion: make lint passes; platform and capacity features 41 passed, 0 failed, capacity again after the last edit 3 passed.

--- a/packages/core/src/fireflybridge_core/__init__.py
+++ b/packages/core/src/fireflybridge_core/__init__.py
@@ -1,6 +1,7 @@
 """Types, errors and identities shared by every fireflybridge package."""
 
 from fireflybridge_core._answers import (
+    FIRST_SERVER_ERROR_STATUS,
     Answer,
     Complete,
     Failed,
@@ -31,6 +32,7 @@
 
 __all__ = [
     "CLAIM_SHARDS",
+    "FIRST_SERVER_ERROR_STATUS",
     "MAX_KEY_LENGTH",
     "MAX_TASKS_PER_JOB",
     "Answer",
--- a/packages/daemon/src/fireflybridge_daemon/_jobs.py
+++ b/packages/daemon/src/fireflybridge_daemon/_jobs.py
@@ -125,11 +125,6 @@
         """Return how many submissions have no answer yet."""
         return self._running
 
-    @property
-    def kept_bytes(self) -> int:
-        """Return the bytes of payloads and answers that are held."""
-        return self._bytes
-
     @property
     def full(self) -> bool:
         """Tell whether new submissions must be refused to keep memory bounded."""
--- a/packages/daemon/src/fireflybridge_daemon/_pools.py
+++ b/packages/daemon/src/fireflybridge_daemon/_pools.py
@@ -8,7 +8,16 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from fireflybridge_core import Cause, Done, MayHaveRun, NotRun, Outcome, Task, TaskId
+from fireflybridge_core import (
+    FIRST_SERVER_ERROR_STATUS,
+    Cause,
+    Done,
+    MayHaveRun,
+    NotRun,
+    Outcome,
+    Task,
+    TaskId,
+)
 from fireflybridge_dispatch import Ejected, Open, PoolQueue, Probe, RetryBudget, UpstreamHealth
 from fireflybridge_tables import Pool, Upstream
 from fireflybridge_telemetry import Event, Metrics, SpanKind, Tracer, log_event
@@ -16,7 +25,6 @@
 
 MIN_RETRY_DELAY_S = 0.01
 MAX_RETRY_DELAY_S = 0.05
-FIRST_SERVER_ERROR_STATUS = 500
 
 Deliver = Callable[[Task, Outcome], None]
 IsWanted = Callable[[Task], bool]
--- a/packages/platform/src/fireflybridge_platform/_http.py
+++ b/packages/platform/src/fireflybridge_platform/_http.py
@@ -164,7 +164,24 @@
         return Answer(response.status_code, bytes(body), response.headers.get("etag", ""))
 
 
-class HttpLog:
+class _Client:
+    """Own a connection to the platform for the time of an ``async with``."""
+
+    _connection: _Connection
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        await self._connection.close()
+
+
+class HttpLog(_Client):
     """Reach the log service; implements ``Log``.
 
     The time limits, in seconds, hold for a whole call; a read may also wait for its ``wait_s``.
@@ -183,17 +200,6 @@
         self._append_timeout_s = append_timeout_s
         self._read_timeout_s = read_timeout_s
 
-    async def __aenter__(self) -> Self:
-        return self
-
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        await self._connection.close()
-
     async def append(self, stream: str, payload: bytes) -> Result[int, AppendFailure]:
         """Append one record and return its offset."""
         exchange = await self._connection.exchange(
@@ -214,7 +220,7 @@
         return decode_page(exchange, start, self._connection.base_url)
 
 
-class HttpHostList:
+class HttpHostList(_Client):
     """Reach the host list; implements ``HostList``. Time limits are seconds for a whole call.
 
     The list is asked for under the entity tag of the last one: reading 1,027 hosts whole each second
@@ -234,17 +240,6 @@
         self._etag = ""
         self._hosts: tuple[Host, ...] = ()
 
-    async def __aenter__(self) -> Self:
-        return self
-
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        await self._connection.close()
-
     async def list_hosts(self) -> Result[tuple[Host, ...], StepError]:
         """Return every live and leaving host."""
         exchange = await self._connection.exchange(
