Keep the idle link silent in two tests of lost messages

Heartbeats ran every 0.2 s; one that was under way when the proxy began to drop held the batch back until it was given back as unsent, so no message was unacknowledged. The link itself behaved as specified. Change: both scenarios that swallow an exchange start their endpoints with a heartbeat interval beyond the run, so the batch is always the exchange that the fault meets.

--- a/features/peers.feature
+++ b/features/peers.feature
@@ -47,14 +47,14 @@
     Then peer "b" handles each message of "a" once, in order, or "a" gets it back
 
   Scenario: A restarted peer gets nothing that was meant for its predecessor
-    Given peer endpoints "a" and "b"
+    Given peer endpoints "a" and "b" whose idle link stays silent
     When peer "a" connects to "b" through the proxy
     And peer "b" is killed with messages on the way and starts again
     Then peer "a" reports the first incarnation of "b" as lost, with those messages
     And peer "b" handles only messages that "a" sends after that
 
   Scenario: Disconnecting reports what was not acknowledged
-    Given peer endpoints "a" and "b"
+    Given peer endpoints "a" and "b" whose idle link stays silent
     When peer "a" connects to "b" through the proxy
     And the peer link swallows an exchange and "a" disconnects from "b"
     Then peer "a" reports the first incarnation of "b" as lost, with those messages
--- a/features/steps/peers.py
+++ b/features/steps/peers.py
@@ -13,6 +13,9 @@
 
 KEY = "the shared key of daemons"
 PROBE = "fireflybridge_standins.peer_probe"
+HEARTBEAT_S = 0.2
+# Beyond the length of any run: after the first exchange the link is idle until a message is sent.
+IDLE_HEARTBEAT_S = 3600.0
 BURSTS = 10
 REPLY_LIMIT_MS = 30_000
 
@@ -34,7 +37,7 @@
 
 
 def start_peer(context: Context, name: str, key: str) -> Program:
-    arguments = ("--name", name, "--key", key, "--heartbeat-s", "0.2")
+    arguments = ("--name", name, "--key", key, "--heartbeat-s", str(context.heartbeat_s))
     peer: Program = context.processes.start(PROBE, *arguments)
     context.peers[name] = peer
     return peer
@@ -44,6 +47,8 @@
 def step_peer(context: Context, name: str, key: str) -> None:
     if "peers" not in context:
         context.peers, context.accepted, context.refused = {}, {}, {}
+    if "heartbeat_s" not in context:
+        context.heartbeat_s = HEARTBEAT_S
     start_peer(context, name, key)
 
 
@@ -53,6 +58,12 @@
     step_peer(context, second, KEY)
 
 
+@given('peer endpoints "{first:Quoted}" and "{second:Quoted}" whose idle link stays silent')
+def step_silent_peers(context: Context, first: str, second: str) -> None:
+    context.heartbeat_s = IDLE_HEARTBEAT_S
+    step_peers(context, first, second)
+
+
 def connect(context: Context, name: str, peer: str, address: str) -> None:
     call_peer(context, name, "POST", "/connect", {"name": peer, "address": address})
 
@@ -185,7 +196,11 @@
 
 
 def swallow_exchange(context: Context) -> None:
-    """Let a batch leave "a" whose acknowledgement cannot come, and queue more behind it."""
+    """Let a batch leave "a" whose acknowledgement cannot come, and queue more behind it.
+
+    The idle link has to be silent: a heartbeat that is under way when the fault begins would hold
+    the batch back, so that nothing of it is unacknowledged.
+    """
     context.proxy.set_faults("link", faults=[{"kind": "drop", "direction": "both"}])
     context.on_the_way = list(range(len(context.accepted["a"]), len(context.accepted["a"]) + 8))
     send(context, "a", "b", 4)
