Let the explorer hang and freeze workers, fault single directions and empty the host list

Cause: the explorer injected no hanging workers, no asymmetric or truncating faults on links between daemons or to workers, and no wrong host list, though all are in the fault model.

--- a/features/explore.py
+++ b/features/explore.py
@@ -16,6 +16,7 @@
 sys.path.insert(0, str(Path(__file__).parent))
 
 from support.checks import Ledger, Request, make_request, make_unkeyed, read_starts
+from support.control import send_control
 from support.deployment import Deployment, Plan
 from support.processes import Processes
 
@@ -24,6 +25,19 @@
 SUBMISSIONS = 24
 FAULTS = 3
 SPREAD_S = 2.5  # calls and faults of a run begin within this time
+KINDS = (
+    "worker",
+    "worker",
+    "log",
+    "cut",
+    "link",
+    "platform",
+    "hosts",
+    "pause",
+    "freeze",
+    "kill",
+    "stop",
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,6 +58,7 @@
     generator: random.Random = field(default_factory=random.Random)
     injected: Counter[str] = field(default_factory=Counter)
     down: set[str] = field(default_factory=set)
+    frozen: bool = False
 
     def run(self, seed: str) -> list[str]:
         """Carry out the run of a seed, undo its faults, and return the names of its steps."""
@@ -106,15 +121,27 @@
         until = at + draw.choice((0.3, 1.0, 4.0))
         name = draw.choice(DAEMONS)
         other = draw.choice([one for one in DAEMONS if one != name])
-        match draw.choice(("worker", "worker", "log", "cut", "platform", "pause", "kill", "stop")):
+        match draw.choice(KINDS):
             case "worker":
                 return self._draw_worker_fault(at, until)
             case "log":
                 return self._draw_log_fault(at, until)
             case "cut":
                 return self._make_cut(at, until, "cut", f"{name}-{other}", f"{other}-{name}")
+            case "link":
+                return self._draw_link_fault(at, until, f"{name}-{other}")
             case "platform":
                 return self._make_cut(at, until, "platform", f"{name}-platform")
+            case "hosts":
+                return [
+                    self._make_fault(at, "hosts empty", self._empty_host_list),
+                    Step(until, "hosts listed", self.deployment.list_hosts),
+                ]
+            case "freeze":
+                return [
+                    self._make_fault(at, "freeze workers", self._freeze_workers),
+                    Step(until, "thaw workers", self._thaw_workers),
+                ]
             case "pause":
                 return [
                     self._make_fault(at, f"pause {name}", lambda: self._pause(name)),
@@ -124,12 +151,11 @@
                 return [self._make_fault(at, f"{kind} {name}", lambda: self._end(name, kind))]
 
     def _draw_worker_fault(self, at: float, until: float) -> list[Step]:
-        fault = self.generator.choice(("reset", "truncate", "fail", "refuse"))
+        fault = self.generator.choice(("reset", "truncate", "fail", "refuse", "hang"))
         workers = self.generator.sample(sorted(self.deployment.worker_addresses), 3)
-        set_fault = self.deployment.set_worker_fault
         return [
-            self._make_fault(at, f"worker-{fault}", lambda: set_fault(fault, *workers)),
-            Step(until, "workers recover", lambda: set_fault("none", *workers)),
+            self._make_fault(at, f"worker-{fault}", lambda: self._set_fault(fault, *workers)),
+            Step(until, "workers recover", lambda: self._set_fault("none", *workers)),
         ]
 
     def _draw_log_fault(self, at: float, until: float) -> list[Step]:
@@ -140,6 +166,30 @@
             Step(until, "log recovers", lambda: set_fault(mode="none")),
         ]
 
+    def _draw_link_fault(self, at: float, until: float, link: str) -> list[Step]:
+        """Draw a fault of one direction between two daemons, or of a worker's link."""
+        proxy, draw = self.deployment.proxy, self.generator
+        assert proxy is not None
+        worker = f"worker-{draw.choice(sorted(self.deployment.worker_addresses))}"
+        target, direction = draw.choice((link, worker)), draw.choice(("forward", "backward"))
+        fault = draw.choice(
+            (
+                {"kind": "delay", "direction": direction, "delay_ms": 400},
+                {"kind": "drop", "direction": direction},
+                {"kind": "hold", "direction": direction},
+                {"kind": "truncate", "direction": direction, "after_bytes": draw.randrange(600)},
+                {"kind": "lose_answer", "count": 3},
+            )
+        )
+        return [
+            self._make_fault(
+                at,
+                f"link-{fault['kind']} {target}",
+                lambda: proxy.set_faults(target, faults=[fault]),
+            ),
+            Step(until, f"heal {target}", lambda: proxy.clear_faults(target)),
+        ]
+
     def _make_cut(self, at: float, until: float, kind: str, *links: str) -> list[Step]:
         proxy = self.deployment.proxy
         assert proxy is not None
@@ -158,6 +208,24 @@
 
         return Step(at, name, count_and_act)
 
+    def _set_fault(self, fault: str, *workers: str) -> None:
+        # Frozen workers can't be told; those that miss their recovery are told at the end.
+        if not self.frozen:
+            self.deployment.set_worker_fault(fault, *workers)
+
+    def _empty_host_list(self) -> None:
+        for viewer in self.deployment.daemons:
+            path = f"/view/{viewer}/control/hosts"
+            send_control(self.deployment.platform.address, "PUT", path, {"hosts": []})
+
+    def _freeze_workers(self) -> None:
+        self.frozen = True
+        self.deployment.workers.pause()
+
+    def _thaw_workers(self) -> None:
+        self.deployment.workers.resume()
+        self.frozen = False
+
     def _pause(self, name: str) -> None:
         if name not in self.down:
             self.deployment.daemons[name].pause()
@@ -182,6 +250,7 @@
     def _recover(self) -> None:
         """Undo every fault and start the daemons that were ended again."""
         self.deployment.set_platform_fault(mode="none")
+        self._thaw_workers()
         self.deployment.set_worker_fault("none")
         for name in sorted(self.down):
             self.deployment.daemons[name].wait_exit(60.0)
