Issue the problem types that nothing issued, and drop quota-exceeded

The reference listed cancelled, quota-exceeded and window-unreachable, and nothing issued them; the answer to an internal error had no problem type.

- cancelled (409): a submission with a task that a cancellation dropped.
It follows from the outcomes, so it is the same for the waiting caller, GET and resubmissions at every daemon, and needs no new message.
- A DELETE while the claim waited for the log had no effect, and one before the tasks were queued dropped them only at their turn.
It now waits for the claim's decision and takes the tasks from the queue.
- window-unreachable (503, no Retry-After) replaces overloaded where the tasks alone exceed the window: waiting does not help.
- internal (500) is a problem type, counted like the others; ran and request_ran say may-have-run.
- quota-exceeded is removed: quotas share slots and refuse nothing.

The step of pages_examples expected 502 for a cancelled job; it now expects 409 and the type, which is stricter.

--- a/features/steps/pages_examples.py
+++ b/features/steps/pages_examples.py
@@ -92,7 +92,8 @@
 @then("the cancelled job of the pages ends with tasks that never started")
 def check_cancelled(context: Context) -> None:
     response = context.deployment.call("d2", "GET", f"{context.location}?wait_ms=50000")
-    assert response.status_code == 502, response.text
+    assert response.status_code == 409, response.text
+    assert response.json()["type"] == "urn:fireflybridge:problem:cancelled", response.text
     tasks = response.json()["tasks"]
     cancelled = [task for task in tasks if task.get("cause") == "cancelled"]
     assert cancelled, response.text
--- a/features/steps/submissions.py
+++ b/features/steps/submissions.py
@@ -241,3 +241,58 @@
 def check_cancelled(context: Context) -> None:
     found = {entry.ran for call in context.ledger.calls for entry in call.entries}
     assert found >= {"not-run", "done"}, found
+
+
+@when("a half started job, a waiting job and a job whose claim waits are cancelled elsewhere")
+def cancel_elsewhere(context: Context) -> None:
+    ledger: Ledger = context.ledger
+    prefix = context.deployment.make_prefix("d1")
+    started = make_request(60, 1000, prefix=prefix, deadline_ms=60_000)
+    waiting = make_request(4, prefix=prefix, deadline_ms=60_000)
+    claiming = make_request(4, deadline_ms=60_000)
+    context.cancelled = [(started, ledger.send("d1", started))]
+    ledger.wait_started(started)
+    context.cancelled.append((waiting, ledger.send("d1", waiting)))
+    # Claims of d1 wait for the log until the fault ends, and the jobs that follow for slots.
+    context.deployment.set_platform_fault(mode="hang", operations=["append"])
+    context.cancelled.append((claiming, ledger.send("d1", claiming)))
+    for request in (waiting, claiming):
+        wait_until(lambda one=request: ledger.ask("d1", one, "GET").status == 202, detail="a job")
+    cancels = [ledger.send("d2", request, "DELETE") for request, _ in context.cancelled]
+    wait_until(
+        lambda: context.deployment.read_status("d1")["submissions_running"] <= 1,
+        detail="prefixed jobs cancelled",
+    )
+    context.deployment.set_platform_fault(mode="none")
+    for cancel in cancels:
+        cancel.result()
+
+
+@then("their callers, later requests and resubmissions see the same cancellation")
+def check_cancellation(context: Context) -> None:
+    seen = []
+    for request, caller in context.cancelled:
+        first = expect(caller.result(), problem="cancelled", status=409, state="failed")
+        for name in ("d1", "d2"):
+            for method in ("GET", "POST"):
+                later = context.ledger.ask(name, request, method)
+                expect(later, problem="cancelled", ran=first.ran, entries=first.entries)
+        seen.append((first.ran, {entry.ran for entry in first.entries}))
+    not_run = ("not-run", {"not-run"})
+    assert seen == [("may-have-run", {"done", "not-run"}), not_run, not_run], seen
+
+
+@then("a submission whose tasks alone exceed its window is refused as unreachable")
+def exceed_window(context: Context) -> None:
+    deployment: Deployment = context.deployment
+    expect(context.ledger.ask("d1", make_request(1, 500)), state="complete")
+    # One submission a second is let in all the same, so that a wrong estimate is unlearned.
+    calls = {key: deployment.submit("d1", key, ["sleep=500;"], deadline_ms=100) for key in "abcd"}
+    refused = {key: call for key, call in calls.items() if call.status_code == 503}
+    assert refused, calls
+    for call in refused.values():
+        found = call.json()
+        assert found["type"].endswith(":window-unreachable"), found
+        assert (found["ran"], found["request_ran"]) == ("not-run", "not-run"), found
+        assert "retry-after" not in call.headers, call.headers
+    assert refused.keys().isdisjoint(start.key for start in read_starts(deployment))
--- a/features/steps/telemetry.py
+++ b/features/steps/telemetry.py
@@ -6,11 +6,13 @@
 import tempfile
 from pathlib import Path
 
+import httpx
 from behave import given, then, when
 from behave.runner import Context
 from support.deployment import Deployment, Plan
 from support.processes import wait_until
 
+FEATURES = Path(__file__).parents[1]
 SETTINGS_PAGE = Path(__file__).parents[2] / "docs" / "reference" / "settings.md"
 PEER_KEY = "pk-5d1f0c7e9b3a4826"
 PAYLOAD = "payload-c0ffee"
@@ -218,3 +220,31 @@
         if "event_id" in line
     }
     assert {1001, 1002, 1003, 1004, 2001, 3003, 3004, 3007, 4001, 4003, 5001} <= numbers, numbers
+
+
+@given("a telemetry daemon that meets a fault in each request to one route")
+def start_failing(context: Context) -> None:
+    context.failing = context.processes.start(
+        "support.failing_daemon",
+        *REQUIRED,
+        *ANY_PORTS,
+        "--insecure-peers",
+        environment={"PYTHONPATH": str(FEATURES)},
+    )
+
+
+@then('that telemetry route answers with problem "internal", and the fault is counted and logged')
+def check_internal(context: Context) -> None:
+    base = f"http://{context.failing.address}/v1"
+    with httpx.Client(trust_env=False) as client:
+        failed = client.post(f"{base}/requests/failing", headers={"Idempotency-Key": KEY})
+        assert client.post(f"{base}/key-prefixes").status_code == 201
+        metrics = client.get(f"http://{context.failing.ready['operators']}/metrics").text
+    found = failed.json()
+    assert (failed.status_code, found["status"]) == (500, 500), failed.text
+    assert found["type"] == "urn:fireflybridge:problem:internal", failed.text
+    assert (found["ran"], found["request_ran"]) == ("may-have-run", "may-have-run"), failed.text
+    assert 'fireflybridge_refusals_total{problem="internal"} 1.0' in metrics, metrics
+    log = context.failing.read_stderr()
+    assert '"event_id": 6001' in log, log
+    assert KEY not in log, log
--- a/features/submissions.feature
+++ b/features/submissions.feature
@@ -27,3 +27,15 @@
     When waves of submissions are cancelled at random moments
     Then some cancelled submissions have tasks that never ran
     And the submissions' answers agree with the start records
+
+  Scenario: A cancelled job is seen as cancelled by everyone who asks for it
+    # Guards against a cancellation that is lost while the claim waits, or reads like a failure.
+    Given a checked deployment of 2 daemons
+    When a half started job, a waiting job and a job whose claim waits are cancelled elsewhere
+    Then their callers, later requests and resubmissions see the same cancellation
+    And the submissions' answers agree with the start records
+
+  Scenario: A window that no load explains is refused as unreachable, without a time to retry
+    Given a checked deployment of 1 daemons
+    Then a submission whose tasks alone exceed its window is refused as unreachable
+    And the submissions' answers agree with the start records
--- a/features/telemetry.feature
+++ b/features/telemetry.feature
@@ -32,3 +32,7 @@
     Given a traced deployment of two daemons with recording upstreams
     When the trace collector refuses, and later hangs, while sampled traced jobs run
     Then every traced job was answered, and the lost spans are counted and named once for each outage
+
+  Scenario: A fault of the daemon itself is answered as such, and the daemon goes on
+    Given a telemetry daemon that meets a fault in each request to one route
+    Then that telemetry route answers with problem "internal", and the fault is counted and logged
--- a/packages/daemon/src/fireflybridge_daemon/_submissions.py
+++ b/packages/daemon/src/fireflybridge_daemon/_submissions.py
@@ -48,11 +48,11 @@
     Task,
     hash_key,
 )
+from fireflybridge_daemon import _refusals as refusals
 from fireflybridge_daemon._forwarding import fail_unknown
 from fireflybridge_daemon._interfaces import Catalogue, Claimer, Forwarder, Identity
-from fireflybridge_daemon._jobs import Claiming, Given, Job, JobBook, Kept, Running
+from fireflybridge_daemon._jobs import Claiming, Given, Job, JobBook, JobRecord, Kept, Running
 from fireflybridge_daemon._pools import PoolRunner
-from fireflybridge_daemon._refusals import refuse_conflict, refuse_gone, refuse_undecided
 from fireflybridge_daemon._tasks import digest_submission, make_tasks
 from fireflybridge_daemon._waits import Waits
 from fireflybridge_dispatch import Refused as NotAdmitted
@@ -132,7 +132,7 @@
 
     async def cancel(self, key: str) -> Answer:
         """Cancel the tasks that have not started; started ones still end with an outcome."""
-        match self._book.find(key):
+        match await self._find_decided(key):
             case Running(job=job):
                 self._cancel_job(key, job)
                 return job.answer or Pending()
@@ -146,6 +146,8 @@
             match self._book.find(key):
                 case Running(job=job) if not job.cancelled:
                     self._cancel_job(key, job)
+                case Claiming():
+                    self._group.start_soon(self.cancel, key)
 
     def issue_prefix(self) -> IssuedPrefix | Refused:
         """Return a prefix for keys that only this daemon may start."""
@@ -193,25 +195,28 @@
         if not submission.key:
             return self._open_unkeyed(submission)
         if submission.key.startswith(UNKEYED_PREFIX):
-            detail = f"keys that start with {UNKEYED_PREFIX} are reserved"
-            return Refused(Problem.MALFORMED, Ran.NOT_RUN, detail)
+            return refusals.refuse_reserved(UNKEYED_PREFIX)
         digest = digest_submission(submission)
-        while isinstance(record := self._book.find(submission.key), Claiming):
-            await record.decided.wait()
-        match record:
+        match record := await self._find_decided(submission.key):
             case Running() | Kept() if record.digest != digest:
-                return refuse_conflict()
+                return refusals.refuse_conflict()
             case Running(job=job):
                 return job
             case Kept(answer=answer):
                 return answer
             case _ if self._draining:
-                return Refused(Problem.DRAINING, self._judge_unseen(submission), "shutting down")
+                return refusals.refuse_draining(submission.key, self._identity.incarnation)
             case Given(abandoned=abandoned):
                 return await self._open_unstarted(submission, digest, abandoned, forwarded)
             case _:
                 return await self._open_unstarted(submission, digest, (), forwarded)
 
+    async def _find_decided(self, key: str) -> JobRecord | None:
+        """Return the record of a key once no claim of it waits for its decision."""
+        while isinstance(record := self._book.find(key), Claiming):
+            await record.decided.wait()
+        return record
+
     def _open_unkeyed(self, submission: Submission) -> Job | Answer:
         if self._draining:
             return Refused(Problem.DRAINING, Ran.NOT_RUN, "this daemon is shutting down")
@@ -231,7 +236,7 @@
             case PrefixedKey(incarnation=issuer) if not forwarded:
                 return await self._forward(issuer, submission, digest)
             case PrefixedKey():
-                return refuse_gone(Problem.ISSUER_GONE, "the daemon that issued the prefix is gone")
+                return refusals.refuse_gone(Problem.ISSUER_GONE, "the prefix's issuer is gone")
             case ChosenKey():
                 return await self._open_chosen(submission, digest, abandoned, forwarded)
 
@@ -244,7 +249,7 @@
                     submission.key, digest, submission, attempt=0, keep_s=remaining_s
                 )
             case PrefixExpired():
-                return refuse_gone(Problem.KEY_EXPIRED, "the key's prefix has expired")
+                return refusals.refuse_gone(Problem.KEY_EXPIRED, "the key's prefix has expired")
             case PrefixNeverIssued():
                 detail = "this daemon never issued the key's prefix"
                 return Refused(Problem.UNKNOWN_KEY, Ran.NOT_RUN, detail)
@@ -306,11 +311,11 @@
             case AskExecutor(executor=executor) if not forwarded:
                 return await self._forward(executor, submission, digest)
             case RefuseConflict():
-                return refuse_conflict()
+                return refusals.refuse_conflict()
             case RefuseUnavailable(error=error, retry_after_s=retry_after_s):
-                return refuse_undecided(error, retry_after_s)
+                return refusals.refuse_undecided(error, retry_after_s)
             case RefuseMayHaveRun() | AskExecutor() | Start() | Join() | Drop():
-                return refuse_gone(Problem.EXECUTOR_GONE, "an earlier attempt may have run")
+                return refusals.refuse_gone(Problem.EXECUTOR_GONE, "an earlier one may have run")
 
     def _launch(
         self, key: str, digest: bytes, submission: Submission, *, attempt: int, keep_s: float
@@ -328,8 +333,8 @@
         now = self._clock()
         tasks = make_tasks(key, submission, route, now)
         match runner.queue.admit(tasks):
-            case NotAdmitted(cause=cause, retry_after_s=retry_after_s):
-                return Refused(Problem.OVERLOADED, Ran.NOT_RUN, str(cause), retry_after_s)
+            case NotAdmitted() as refused:
+                return refusals.refuse_unadmitted(refused)
         job = Job(tasks, runner.pool.name, now, tasks[0].deadline)
         self._book.start(key, Running(digest, attempt, job))
         runner.budget.record_request()
@@ -340,6 +345,8 @@
         """Queue a job's tasks and see to it that the job has an answer at its deadline."""
         self._tracer.begin_waits(job.tasks)
         runner.queue.put(job.tasks)
+        if job.cancelled:
+            self._cancel_job(key, job)
         self._offer(job.pool)
         with anyio.move_on_after(job.expires - self._clock()):
             await job.finished.wait()
@@ -385,14 +392,6 @@
                 if longest_s > 0:
                     self._metrics.response.labels(job.pool).observe(elapsed_s / longest_s)
 
-    def _judge_unseen(self, submission: Submission) -> Ran:
-        """Return what is known of a key that this daemon has no record of."""
-        match parse_key(submission.key):
-            case PrefixedKey(incarnation=self._identity.incarnation):
-                return Ran.NOT_RUN
-            case _:
-                return Ran.MAY_HAVE_RUN
-
 
 async def _await_answer(opened: Job | Answer) -> Answer:
     return await opened.wait() if isinstance(opened, Job) else opened
--- a/packages/front/src/fireflybridge_front/_callers.py
+++ b/packages/front/src/fireflybridge_front/_callers.py
@@ -11,6 +11,7 @@
 
 from fireflybridge_core import (
     Answer,
+    Cause,
     Complete,
     Done,
     Failed,
@@ -23,7 +24,7 @@
     Refused,
     judge_ran,
 )
-from fireflybridge_front._problems import refuse_malformed, render_internal_error, render_problem
+from fireflybridge_front._problems import refuse_internal, refuse_malformed, render_problem
 from fireflybridge_front._requests import (
     MAX_BODY_BYTES,
     Head,
@@ -79,8 +80,9 @@
             return rendered
         except Exception as error:
             self._report_failure(error)
-            status, headers, body = render_internal_error()
-            return status, headers, body
+            rendered = self._render_refused(refuse_internal(), request_ran=Ran.MAY_HAVE_RUN)
+            status = rendered[0]
+            return rendered
         finally:
             self._tracer.end(span, status=status)
 
@@ -145,7 +147,8 @@
                 return 202, [JSON_TYPE, location], msgspec.json.encode({"state": "pending"})
             case Failed(outcomes=outcomes):
                 tasks = [describe_outcome(outcome) for outcome in outcomes]
-                refused = Refused(Problem.JOB_FAILED, judge_ran(outcomes), count_states(outcomes))
+                problem = name_failure(outcomes)
+                refused = Refused(problem, judge_ran(outcomes), count_states(outcomes))
                 members = {
                     "request_ran": refused.ran,
                     "key": key,
@@ -184,6 +187,12 @@
             return {"ran": "may-have-run", "cause": cause}
 
 
+def name_failure(outcomes: tuple[Outcome, ...]) -> Problem:
+    """Return the problem of a failed submission: cancelled if a task was dropped for it."""
+    dropped = any(isinstance(o, NotRun) and o.cause is Cause.CANCELLED for o in outcomes)
+    return Problem.CANCELLED if dropped else Problem.JOB_FAILED
+
+
 def count_states(outcomes: tuple[Outcome, ...]) -> str:
     """Return how many tasks are done, not run, or may have run."""
     done = sum(isinstance(outcome, Done) for outcome in outcomes)
--- a/packages/front/src/fireflybridge_front/_problems.py
+++ b/packages/front/src/fireflybridge_front/_problems.py
@@ -9,9 +9,6 @@
 
 PROBLEM_TYPE_BASE = "urn:fireflybridge:problem:"
 PROBLEM_CONTENT_TYPE = b"application/problem+json"
-# Not a refusal: nothing is known about what the request has started.
-INTERNAL_ERROR = "internal"
-INTERNAL_ERROR_STATUS = 500
 
 STATUSES = {
     Problem.BODY_TOO_LARGE: 413,
@@ -20,6 +17,7 @@
     Problem.DRAINING: 503,
     Problem.EXECUTOR_GONE: 502,
     Problem.EXECUTOR_UNREACHABLE: 503,
+    Problem.INTERNAL: 500,
     Problem.ISSUER_GONE: 502,
     Problem.JOB_FAILED: 502,
     Problem.KEY_EXPIRED: 410,
@@ -30,7 +28,6 @@
     Problem.NOT_FOUND: 404,
     Problem.NOT_READY: 503,
     Problem.OVERLOADED: 503,
-    Problem.QUOTA_EXCEEDED: 429,
     Problem.TOO_MANY_TASKS: 413,
     Problem.UNKNOWN_KEY: 404,
     Problem.UNKNOWN_ROUTE: 404,
@@ -58,20 +55,6 @@
     return status, headers, msgspec.json.encode(body)
 
 
-def render_internal_error() -> tuple[int, list[tuple[bytes, bytes]], bytes]:
-    """Return the response to a request that met a fault of the daemon itself."""
-    body = {
-        "type": PROBLEM_TYPE_BASE + INTERNAL_ERROR,
-        "title": "internal error",
-        "status": INTERNAL_ERROR_STATUS,
-        "detail": "the daemon met a fault of its own, which its log names",
-        "ran": str(Ran.MAY_HAVE_RUN),
-        "request_ran": str(Ran.MAY_HAVE_RUN),
-    }
-    headers = [(b"content-type", PROBLEM_CONTENT_TYPE)]
-    return INTERNAL_ERROR_STATUS, headers, msgspec.json.encode(body)
-
-
 def render_broken_http(
     status: int, max_header_bytes: int
 ) -> tuple[list[tuple[bytes, bytes]], bytes]:
@@ -82,6 +65,12 @@
     return headers, body
 
 
+def refuse_internal() -> Refused:
+    """Return the answer to a request that met a fault of the daemon, which may have started it."""
+    detail = "the daemon met a fault of its own, which its log names"
+    return Refused(Problem.INTERNAL, Ran.MAY_HAVE_RUN, detail)
+
+
 def refuse_malformed(detail: str) -> Refused:
     """Return the refusal of a request that can't be read."""
     return Refused(Problem.MALFORMED, Ran.NOT_RUN, detail)
