Settle moved tasks by the session that carried them

A restarted peer may pull over its own link while the link to it still holds the session of its first incarnation. The Assign was noted under the new incarnation but went into the old session. When that session ended, neither the unsent tasks returned to the queue nor the unacknowledged ones became "may have run": they stayed open until their deadline. The same happened to tasks for a link that was closed before its first session.

A link has one session at a time, so at its end every task assigned to the peer either is in an unsent message or went into this session. drop_peer now settles by that; the incarnation is no longer noted. The scenario with three examples failed in all three without the change ("tasks that nobody settles before their deadline") and passes with it.

--- a/features/recovery.feature
+++ b/features/recovery.feature
@@ -37,3 +37,15 @@
     And recovery cuts each daemon from the platform under load
     And recovery cuts d2 from the platform and from every daemon
     Then the submissions' answers agree with the start records
+
+  Scenario Outline: A task whose message met the end of a session is settled by that message
+    Given a mover with 3 queued tasks
+    When the restarted peer pulls 2 tasks from the mover
+    And the mover's session <session> ends with that message <state>
+    Then the mover has <queued> tasks queued and <unknown> that may have run
+
+    Examples:
+      | session                    | state          | queued | unknown |
+      | with the first incarnation | unsent         | 3      | 0       |
+      | with the first incarnation | unacknowledged | 1      | 2       |
+      | that never opened          | unsent         | 3      | 0       |
--- /dev/null
+++ b/features/steps/moves.py
@@ -0,0 +1,76 @@
+"""Steps for a mover alone, between a queue and a link whose messages the step settles."""
+
+from dataclasses import dataclass, field
+from types import SimpleNamespace
+
+from behave import given, then, when
+from behave.runner import Context
+from result import Ok
+from support.dispatch import Bench
+
+from fireflybridge_core import MayHaveRun, Outcome, Task
+from fireflybridge_daemon._mover import Mover
+from fireflybridge_peers import Lost, Message, Pull
+from fireflybridge_telemetry import Metrics, Tracer
+
+FIRST = "first"
+
+
+@dataclass
+class Desk:
+    """Hold a mover with the queue, the messages and the outcomes that it works on."""
+
+    bench: Bench = field(default_factory=lambda: Bench(1, 4))
+    sent: list[Message] = field(default_factory=list)
+    outcomes: list[Outcome] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        tracer = Tracer(0.0, None)
+        self.mover = Mover(self, self.deliver, Metrics(), tracer, lambda: self.bench.now)
+
+    def deliver(self, task: Task, outcome: Outcome) -> bool:
+        """Keep an outcome."""
+        self.outcomes.append(outcome)
+        return True
+
+    def send(self, peer: str, message: Message) -> Ok[None]:
+        """Keep a message."""
+        self.sent.append(message)
+        return Ok(None)
+
+    def find_runner(self, pool: str) -> SimpleNamespace:
+        """Return what a mover uses of a pool's runner."""
+        return SimpleNamespace(
+            queue=self.bench.queue, owned={"u0"}, local_slots=self.bench.slots, running=0
+        )
+
+
+@given("a mover with {count:d} queued tasks")
+def start_mover(context: Context, count: int) -> None:
+    context.desk = Desk()
+    if count:
+        context.desk.bench.queue.put(context.desk.bench.make_job(count))
+
+
+@when("the restarted peer pulls {count:d} tasks from the mover")
+def pull_tasks(context: Context, count: int) -> None:
+    context.desk.mover.answer_pull("p", Pull("p", count))
+
+
+@when("the mover's session {session} ends with that message {state}")
+def end_session(context: Context, session: str, state: str) -> None:
+    messages = tuple(context.desk.sent)
+    assert len(messages) == 1
+    unsent = state == "unsent"
+    incarnation = FIRST if session == "with the first incarnation" else ""
+    lost = Lost("p", incarnation, () if unsent else messages, messages if unsent else ())
+    context.desk.mover.drop_peer(lost)
+
+
+@then("the mover has {queued:d} tasks queued and {unknown:d} that may have run")
+def check_settled(context: Context, queued: int, unknown: int) -> None:
+    desk: Desk = context.desk
+    assert desk.mover.assigned == 0, "tasks that nobody settles before their deadline"
+    assert desk.bench.queue.queued == queued
+    assert len(desk.outcomes) == unknown
+    assert all(isinstance(outcome, MayHaveRun) for outcome in desk.outcomes), desk.outcomes
--- a/packages/daemon/src/fireflybridge_daemon/_mover.py
+++ b/packages/daemon/src/fireflybridge_daemon/_mover.py
@@ -65,7 +65,6 @@
 
     task: Task
     peer: str
-    incarnation: str
     span: Span | None
 
 
@@ -74,7 +73,6 @@
     """Note a peer's task that runs here."""
 
     peer: str
-    incarnation: str
     assignment: int
 
 
@@ -217,7 +215,7 @@
             return
         self._asked[place] = room
 
-    def answer_pull(self, peer: str, incarnation: str, pull: Pull) -> None:
+    def answer_pull(self, peer: str, pull: Pull) -> None:
         """Hand queued tasks to a peer; an empty assignment says that there are none."""
         runner = self._exchange.find_runner(pull.pool)
         tasks = runner.queue.take_batch(pull.slots) if runner is not None else ()
@@ -228,14 +226,14 @@
         for task in tasks:
             self._tracer.end_wait(task)
             span = self._tracer.begin("move to peer", task.traceparent, SpanKind.CLIENT)
-            self._assigned[task.id] = Assigned(task, peer, incarnation, span)
+            self._assigned[task.id] = Assigned(task, peer, span)
         marked = (_mark_task(self._assigned[task.id]) for task in tasks)
         message = Assign(assignment, pull.pool, tuple(assign_task(task, now) for task in marked))
         self._moved_out.inc(len(tasks))
         if isinstance(self._exchange.send(peer, message), Err):
             self._take_back(task.id for task in tasks)
 
-    def accept(self, peer: str, incarnation: str, message: Assign) -> None:
+    def accept(self, peer: str, message: Assign) -> None:
         """Queue a peer's tasks here."""
         place = PeerPool(peer, message.pool)
         self._asked.pop(place, None)
@@ -252,7 +250,7 @@
         now = self._clock()
         tasks = tuple(accept_task(task, now) for task in message.tasks)
         for task in tasks:
-            self._accepted[task.id] = Accepted(peer, incarnation, message.assignment)
+            self._accepted[task.id] = Accepted(peer, message.assignment)
         self._moved_in.inc(len(tasks))
         self._tracer.begin_waits(tasks)
         runner.queue.accept(tasks)
@@ -314,9 +312,11 @@
             self._send_back(peer, message)
 
     def drop_peer(self, lost: Lost) -> None:
-        """Settle what a vanished incarnation of a peer leaves behind.
+        """Settle what the ended session with a peer leaves behind.
 
-        Tasks in messages that were never sent return to the queue. All others may have run.
+        Tasks in messages that were never sent return to the queue. All others of this peer may
+        have run, whichever incarnation pulled them: a restarted peer may pull before the session
+        with its predecessor ends, and the tasks of earlier sessions are settled already.
         """
         unsent = frozenset(
             task.id
@@ -324,11 +324,7 @@
             if isinstance(message, Assign)
             for task in message.tasks
         )
-        gone = [
-            task_id
-            for task_id, assigned in self._assigned.items()
-            if assigned.peer == lost.peer and assigned.incarnation in (lost.incarnation, "")
-        ]
+        gone = [task_id for task_id, one in self._assigned.items() if one.peer == lost.peer]
         self._take_back(task_id for task_id in gone if task_id in unsent)
         for task_id in gone:
             if task_id not in unsent:
--- a/packages/daemon/src/fireflybridge_daemon/_peering.py
+++ b/packages/daemon/src/fireflybridge_daemon/_peering.py
@@ -281,9 +281,9 @@
             case Backlog(pool=pool, count=count):
                 parts.mover.note_backlog(peer, pool, count)
             case Pull():
-                parts.mover.answer_pull(peer, incarnation, message)
+                parts.mover.answer_pull(peer, message)
             case Assign():
-                parts.mover.accept(peer, incarnation, message)
+                parts.mover.accept(peer, message)
             case Results():
                 parts.mover.receive_results(peer, message)
             case Returned():
