Ask a peer again whose answer to a Pull was lost

A daemon keeps one open Pull for each peer and pool. The Assign that answers it is lost when the peer's link to this daemon has stalled, or still holds the session of this daemon's predecessor: the peer takes the tasks back and says nothing. The open Pull was never forgotten, so a restarted daemon could stay idle beside that peer's queue for ever. It now counts for 1 s.

--- a/features/recovery.feature
+++ b/features/recovery.feature
@@ -49,3 +49,8 @@
       | with the first incarnation | unsent         | 3      | 0       |
       | with the first incarnation | unacknowledged | 1      | 2       |
       | that never opened          | unsent         | 3      | 0       |
+
+  Scenario: A peer whose answer to a Pull was lost is asked again
+    Given a mover with 0 queued tasks
+    When a peer offers 4 tasks to the mover every 0.2 s for 4 s and never answers
+    Then the mover has asked that peer 4 times
--- a/features/steps/moves.py
+++ b/features/steps/moves.py
@@ -74,3 +74,17 @@
     assert desk.bench.queue.queued == queued
     assert len(desk.outcomes) == unknown
     assert all(isinstance(outcome, MayHaveRun) for outcome in desk.outcomes), desk.outcomes
+
+
+@when(
+    "a peer offers {count:d} tasks to the mover every {step_s:g} s for {total_s:g} s and never answers"
+)
+def offer_tasks(context: Context, count: int, step_s: float, total_s: float) -> None:
+    for _ in range(round(total_s / step_s)):
+        context.desk.mover.note_backlog("p", "p", count)
+        context.desk.bench.now += step_s
+
+
+@then("the mover has asked that peer {times:d} times")
+def check_asked(context: Context, times: int) -> None:
+    assert context.desk.sent == [Pull("p", 4)] * times, context.desk.sent
--- a/packages/daemon/src/fireflybridge_daemon/_mover.py
+++ b/packages/daemon/src/fireflybridge_daemon/_mover.py
@@ -36,6 +36,9 @@
 MIN_OFFERED_TASKS = 2
 # An offer older than this has mostly been taken by others; pulling it costs an empty answer.
 OFFER_LIFETIME_S = 0.25
+# The answer to a Pull is lost when the peer's link to this daemon stalls or its session ends. An
+# exchange that is not acknowledged is repeated after 1 s, so an answer is seldom later than that.
+PULL_LIFETIME_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +87,14 @@
     expires: float
 
 
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """Note for how many tasks a peer was asked, and until when an answer is awaited."""
+
+    slots: int
+    expires: float
+
+
 @dataclass(frozen=True, slots=True)
 class PeerPool:
     """Identify a pool's queue at a peer."""
@@ -114,7 +125,7 @@
         self._assigned: dict[TaskId, Assigned] = {}
         self._accepted: dict[TaskId, Accepted] = {}
         self._backlogs: dict[PeerPool, Offer] = {}
-        self._asked: dict[PeerPool, int] = {}
+        self._asked: dict[PeerPool, Asked] = {}
         self._announced: dict[str, float] = {}
         self._assignments = count(1)
         self._cancelled: set[TaskId] = set()
@@ -195,6 +206,7 @@
             return
         now = self._clock()
         self._backlogs = {place: o for place, o in self._backlogs.items() if o.expires > now}
+        self._asked = {place: one for place, one in self._asked.items() if one.expires > now}
         waiting = {
             place: offer.count
             for place, offer in self._backlogs.items()
@@ -204,7 +216,7 @@
             return
         local = runner.local_slots
         prefetch = max(1, int(local * PREFETCH_SHARE))
-        asked = sum(slots for place, slots in self._asked.items() if place.pool == pool)
+        asked = sum(one.slots for place, one in self._asked.items() if place.pool == pool)
         room = local - runner.running - runner.queue.queued - asked + prefetch
         if room < prefetch:
             return
@@ -213,7 +225,7 @@
         if isinstance(self._exchange.send(place.peer, Pull(pool, room)), Err):
             del self._backlogs[place]
             return
-        self._asked[place] = room
+        self._asked[place] = Asked(room, now + PULL_LIFETIME_S)
 
     def answer_pull(self, peer: str, pull: Pull) -> None:
         """Hand queued tasks to a peer; an empty assignment says that there are none."""
@@ -332,7 +344,7 @@
                 self._finish(assigned, MayHaveRun(Cause.PEER_LOST, lost.peer))
         self._held.pop(lost.peer, None)
         self._backlogs = {p: offer for p, offer in self._backlogs.items() if p.peer != lost.peer}
-        self._asked = {p: slots for p, slots in self._asked.items() if p.peer != lost.peer}
+        self._asked = {p: asked for p, asked in self._asked.items() if p.peer != lost.peer}
 
     def _release(self, task: Task) -> Accepted | None:
         """Forget a peer's task that has ended here."""
