Accept IPv6 addresses in settings and tables

The design asks for addressing by IP, and the tables accept [ip]:port. A setting [::1]:8080 failed checks FB104 and FB106, and an upstream's connection tried to connect to the text [::1]. One parser in core now serves the settings, the listeners and the upstream connections; IPv6 addresses need brackets.

--- a/features/steps/telemetry.py
+++ b/features/steps/telemetry.py
@@ -248,3 +248,18 @@
     log = context.failing.read_stderr()
     assert '"event_id": 6001' in log, log
     assert KEY not in log, log
+
+
+@given("a telemetry deployment of 2 daemons with IPv6 addresses")
+def deploy_on_ipv6(context: Context) -> None:
+    roles = ("callers", "operators", "peer")
+    arguments = tuple(f"--{role}-address=[::1]:0" for role in roles)
+    context.deployment = Deployment(context.processes, Plan(daemons=2, daemon_arguments=arguments))
+    context.deployment.start()
+
+
+@then("each telemetry daemon of them answers a job at the address that it announced")
+def submit_on_ipv6(context: Context) -> None:
+    for name, daemon in context.deployment.daemons.items():
+        assert daemon.address.startswith("[::1]:"), daemon.ready
+        assert context.deployment.submit(name, f"{KEY}-{name}", ["x"] * 2).status_code == 200
--- a/features/telemetry.feature
+++ b/features/telemetry.feature
@@ -36,3 +36,7 @@
   Scenario: A fault of the daemon itself is answered as such, and the daemon goes on
     Given a telemetry daemon that meets a fault in each request to one route
     Then that telemetry route answers with problem "internal", and the fault is counted and logged
+
+  Scenario: Daemons serve callers, operators and each other over IPv6
+    Given a telemetry deployment of 2 daemons with IPv6 addresses
+    Then each telemetry daemon of them answers a job at the address that it announced
--- a/packages/core/src/fireflybridge_core/__init__.py
+++ b/packages/core/src/fireflybridge_core/__init__.py
@@ -1,5 +1,6 @@
 """Types, errors and identities shared by every fireflybridge package."""
 
+from fireflybridge_core._addresses import Address, parse_address
 from fireflybridge_core._answers import (
     FIRST_SERVER_ERROR_STATUS,
     Answer,
@@ -35,6 +36,7 @@
     "FIRST_SERVER_ERROR_STATUS",
     "MAX_KEY_LENGTH",
     "MAX_TASKS_PER_JOB",
+    "Address",
     "Answer",
     "Cause",
     "Complete",
@@ -57,5 +59,6 @@
     "hash_key",
     "judge_ran",
     "make_incarnation",
+    "parse_address",
     "summarize_outcomes",
 ]
--- /dev/null
+++ b/packages/core/src/fireflybridge_core/_addresses.py
@@ -0,0 +1,34 @@
+"""Addresses as settings and tables write them: ``ip:port``, or ``[ip]:port`` for IPv6."""
+
+import ipaddress
+from dataclasses import dataclass
+
+MAX_PORT = 65535
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """Hold an IP address, without brackets, and a port."""
+
+    ip: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"[{self.ip}]:{self.port}" if ":" in self.ip else f"{self.ip}:{self.port}"
+
+    @property
+    def is_loopback(self) -> bool:
+        """Tell whether only this host reaches the address."""
+        return ipaddress.ip_address(self.ip).is_loopback
+
+
+def parse_address(text: str) -> Address:
+    """Return the address that a text names, or raise ``ValueError``."""
+    host, _, port = text.rpartition(":")
+    bracketed = host.startswith("[") and host.endswith("]")
+    ip = host[1:-1] if bracketed else host
+    if bracketed != (ipaddress.ip_address(ip).version == 6):
+        raise ValueError(f"an IPv6 address and no other has brackets: {text}")
+    if not (port.isascii() and port.isdigit() and int(port) <= MAX_PORT):
+        raise ValueError(f"no port between 0 and {MAX_PORT}: {text}")
+    return Address(ip, int(port))
--- a/packages/daemon/src/fireflybridge_daemon/_checks.py
+++ b/packages/daemon/src/fireflybridge_daemon/_checks.py
@@ -1,6 +1,5 @@
 """Start-up checks: every wrong setting is reported with its id, value and cure."""
 
-import ipaddress
 import socket
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, fields
@@ -9,6 +8,7 @@
 
 from result import Err, Ok, Result
 
+from fireflybridge_core import parse_address
 from fireflybridge_daemon._settings import Settings, name_flag, name_variable
 
 MIN_KEY_BYTES = 16
@@ -123,22 +123,21 @@
 
 
 def _check_address(address: str) -> str:
-    host, _, port = address.rpartition(":")
     try:
-        ipaddress.ip_address(host)
+        parse_address(address)
     except ValueError:
-        return "give an IP address and a port such as 10.0.0.7:8080"
-    is_port = port.isdigit() and int(port) <= 65535
-    return "" if is_port else "give a port between 0 and 65535 after the colon"
+        return "give an IP address and a port such as 10.0.0.7:8080 or [2001:db8::7]:8080"
+    return ""
 
 
 def _check_free(address: str) -> str:
     """Try to listen on an address that is well formed."""
     if _check_address(address):
         return ""
-    host, _, port = address.rpartition(":")
+    wanted = parse_address(address)
+    family = socket.AF_INET6 if ":" in wanted.ip else socket.AF_INET
     try:
-        socket.create_server((host, int(port))).close()
+        socket.create_server((wanted.ip, wanted.port), family=family).close()
     except OSError as error:
         return f"free the address, or give one of this host ({error.strerror or error})"
     return ""
@@ -162,8 +161,9 @@
 
 
 def _check_insecure_peers(settings: Settings) -> str:
-    host = settings.peer_address.rpartition(":")[0]
-    if not settings.insecure_peers or host.startswith("127."):
+    if not settings.insecure_peers or _check_address(settings.peer_address):
+        return ""
+    if parse_address(settings.peer_address).is_loopback:
         return ""
     return "use a key file unless --peer-address is on loopback"
 
--- a/packages/front/src/fireflybridge_front/_server.py
+++ b/packages/front/src/fireflybridge_front/_server.py
@@ -11,6 +11,7 @@
 from hypercorn.asyncio import serve
 from hypercorn.config import Config
 
+from fireflybridge_core import Address, parse_address
 from fireflybridge_front._hypercorn import adjust_hypercorn
 from fireflybridge_front._requests import MAX_HEADER_BYTES
 
@@ -34,8 +35,9 @@
 
     The bound ``ip:port`` is reported through ``task_status``.
     """
-    host, _, port = address.rpartition(":")
-    listener = socket.create_server((host, int(port)), backlog=1024)
+    wanted = parse_address(address)
+    family = socket.AF_INET6 if ":" in wanted.ip else socket.AF_INET
+    listener = socket.create_server((wanted.ip, wanted.port), family=family, backlog=1024)
     # Accepted connections inherit the option.
     listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNREAD_ANSWER_MS)
     config = Config()
@@ -47,7 +49,7 @@
     config.keep_alive_timeout = KEEP_ALIVE_TIMEOUT_S
     # hypercorn's read_timeout would also cut callers that wait for an answer, so it stays unset;
     # a slow body is bounded by the application, slow headers by the keep-alive timeout.
-    bound = "{}:{}".format(*listener.getsockname())
+    bound = str(Address(*listener.getsockname()[:2]))
     # hypercorn takes the descriptor over and closes it.
     config.bind = [f"fd://{listener.detach()}"]
     task_status.started(bound)
--- a/packages/peers/src/fireflybridge_peers/_settings.py
+++ b/packages/peers/src/fireflybridge_peers/_settings.py
@@ -3,11 +3,10 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
-from fireflybridge_core import StepError
+from fireflybridge_core import StepError, parse_address
 from fireflybridge_peers._messages import Heartbeat, Message
 
 MIN_KEY_BYTES = 16
-_LOOPBACK_PREFIX = "127."
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,7 +34,7 @@
     max_queued_bytes: int = 16 * 1024 * 1024
 
     def __post_init__(self) -> None:
-        if self.key is None and not self.listen.startswith(_LOOPBACK_PREFIX):
+        if self.key is None and not parse_address(self.listen).is_loopback:
             raise ValueError(f"links without a key may listen on loopback only, not {self.listen}")
         if self.key is not None and len(self.key) < MIN_KEY_BYTES:
             raise ValueError(f"the shared key has fewer than {MIN_KEY_BYTES} bytes")
--- a/packages/upstream/src/fireflybridge_upstream/_connection.py
+++ b/packages/upstream/src/fireflybridge_upstream/_connection.py
@@ -9,7 +9,7 @@
 import h11
 from anyio.abc import SocketAttribute, SocketStream
 
-from fireflybridge_core import Cause, Done, MayHaveRun, NotRun, Outcome, Task
+from fireflybridge_core import Cause, Done, MayHaveRun, NotRun, Outcome, Task, parse_address
 from fireflybridge_upstream._requests import BODILESS_REQUEST, encode_request
 
 CONNECT_TIMEOUT_S = 1.0
@@ -43,8 +43,7 @@
 
     def __init__(self, name: str, address: str, *, guards: bool) -> None:
         self._name = name
-        self._host, _, port = address.rpartition(":")
-        self._port = int(port)
+        self._address = parse_address(address)
         self._authority = address.encode()
         self._guards = guards
         self._stream: SocketStream | None = None
@@ -103,7 +102,7 @@
             await self.close()
         try:
             with anyio.fail_after(limit_s):
-                self._stream = await anyio.connect_tcp(self._host, self._port)
+                self._stream = await anyio.connect_tcp(self._address.ip, self._address.port)
         except (OSError, TimeoutError):
             return None
         # Looking up the descriptor costs 30 us, so it is done once for each connection.
