Announce acquired slots without waiting for the next heartbeat

Tasks were seen queued for more than 1.3 s beside free slots after a restart. A peer hands tasks only to slots that it knows from heartbeats, which are up to 1.4 s apart, so a daemon that had just acquired its upstreams idled for that time. A daemon now sends a heartbeat to every peer when the upstreams that it serves change.

Trial (two daemons, d1 killed and started again at its link while d2 has 200 to 300 tasks queued): from d1's first free slots to its first task of d2 it took 1.03 to 1.26 s in 6 restarts before and 0.12 to 0.15 s in 3 restarts after. Bound: one exchange and the next offer (0.1 s); without the announcement's exchange the next heartbeat (1.4 s).

The new scenario failed with an announcement that does nothing and passes with it.

--- a/features/peers.feature
+++ b/features/peers.feature
@@ -7,6 +7,12 @@
     When peer "a" connects to "b"
     Then peers "a" and "b" hear each other's heartbeats 3 times
 
+  Scenario: A change that peers act on is announced without waiting for the next heartbeat
+    Given peer endpoints "a" and "b" whose idle link stays silent
+    When peer "a" connects to "b"
+    And peer "a" announces a change 3 times and each is heard by "b"
+    Then peer "b" has heard 4 heartbeats of "a"
+
   Scenario Outline: A message is handled once while faults act on the link
     Given peer endpoints "a" and "b"
     When peer "a" connects to "b" through the proxy
--- a/features/steps/peers.py
+++ b/features/steps/peers.py
@@ -280,6 +280,21 @@
         wait_until(lambda n=name, o=other: read_state(context, n)["heartbeats"].get(o, 0) >= count)
 
 
+@when(
+    'peer "{name:Quoted}" announces a change {times:d} times and each is heard by "{peer:Quoted}"'
+)
+def step_announce(context: Context, name: str, times: int, peer: str) -> None:
+    for number in range(1, times + 1):
+        wait_until(lambda n=number: read_state(context, peer)["heartbeats"].get(name, 0) >= n)
+        call_peer(context, name, "POST", "/announce")
+
+
+@then('peer "{peer:Quoted}" has heard {count:d} heartbeats of "{name:Quoted}"')
+def check_heard(context: Context, peer: str, count: int, name: str) -> None:
+    wait_until(lambda: read_state(context, peer)["heartbeats"].get(name, 0) >= count)
+    assert read_state(context, peer)["heartbeats"][name] == count
+
+
 @then(
     'peer settings with key "{key:Quoted}" that listen on "{listen:Quoted}" fail with "{message:Quoted}"'
 )
--- a/packages/daemon/src/fireflybridge_daemon/_peering.py
+++ b/packages/daemon/src/fireflybridge_daemon/_peering.py
@@ -171,6 +171,8 @@
             ]
             mine = [u for u in staying if (u.name, u.address) in owned]
             runner.own(mine, sum(upstream.slots for upstream in staying))
+        # Peers hand tasks only to slots that they know of, and heartbeats are up to 1.4 s apart.
+        self._links.announce()
 
     def drain(self) -> None:
         """Give up every upstream and shard to the other daemons."""
--- a/packages/peers/src/fireflybridge_peers/_heartbeats.py
+++ b/packages/peers/src/fireflybridge_peers/_heartbeats.py
@@ -44,11 +44,17 @@
         if peer in self._times:
             self._times[peer] = replace(self._times[peer], sent=now)
 
+    def hasten(self, peer: str) -> None:
+        """Make a heartbeat to the peer due at once."""
+        self.note_sent(peer, float("-inf"))
+
     def find_due(self, peer: str) -> float:
         """Return when this daemon has to start an exchange with a peer, never if not connected."""
         times = self._times.get(peer)
         if times is None:
             return float("inf")
+        if times.sent == float("-inf"):
+            return times.sent
         factor = 1.0 if self._name < peer else BACKUP_FACTOR
         return times.exchanged + times.interval_s * factor
 
--- a/packages/peers/src/fireflybridge_peers/_link.py
+++ b/packages/peers/src/fireflybridge_peers/_link.py
@@ -93,6 +93,11 @@
         self._queued.set()
         return result
 
+    def announce(self) -> None:
+        """Send a heartbeat without waiting for its time."""
+        self._times.hasten(self.peer)
+        self._queued.set()
+
     def describe(self) -> LinkStats:
         """Return the counters of the link."""
         return LinkStats(
--- a/packages/peers/src/fireflybridge_peers/_links.py
+++ b/packages/peers/src/fireflybridge_peers/_links.py
@@ -79,6 +79,11 @@
         link = self._links.get(peer)
         return Err(UnknownPeer(peer)) if link is None else link.send(message)
 
+    def announce(self) -> None:
+        """Send a heartbeat to every peer, because something changed that they act on."""
+        for link in self._links.values():
+            link.announce()
+
     def describe_links(self) -> tuple[LinkStats, ...]:
         """Return the counters of every link."""
         return tuple(link.describe() for link in self._links.values())
--- a/standins/src/fireflybridge_standins/peer_probe/_endpoint.py
+++ b/standins/src/fireflybridge_standins/peer_probe/_endpoint.py
@@ -64,6 +64,9 @@
             case "POST", "/disconnect":
                 self.links.disconnect(**json.loads(body))
                 return {}
+            case "POST", "/announce":
+                self.links.announce()
+                return {}
             case "POST", "/send":
                 return self.send_numbers(**json.loads(body))
             case _:
