Pass tracestate on beside traceparent

W3C Trace Context carries vendor data in tracestate, which must travel with traceparent; it was dropped. It now goes with the submission and each task, to upstreams and to peers, where the request's trace is the caller's own; without a valid traceparent it is dropped. Headers of several lines are joined, and members beyond 512 characters cut, since tasks keep the text while they wait. The peers' structs take it as a last member with a default, so a daemon of the earlier version still reads and is read.

--- a/features/steps/traces.py
+++ b/features/steps/traces.py
@@ -14,6 +14,7 @@
 from support.processes import wait_until
 
 CALLER_SPAN = "00f067aa0ba902b7"
+STATE = "vendor=t61rcWkgMzE,other=00f067aa"
 SLEEP_S = 0.05  # long enough for a job to overflow the slots of one daemon
 TASKS = 40
 MOST_JOBS = 20
@@ -39,6 +40,7 @@
     def __init__(self) -> None:
         super().__init__(("127.0.0.1", 0), RecordingHandler)
         self.contexts: list[str] = []
+        self.states: list[str] = []
 
 
 class RecordingHandler(BaseHTTPRequestHandler):
@@ -50,6 +52,7 @@
         """Answer one task."""
         self.rfile.read(int(self.headers["Content-Length"]))
         assert isinstance(self.server, Recorder)
+        self.server.states.append(self.headers.get("Tracestate", ""))
         self.server.contexts.append(self.headers.get("Traceparent", ""))
         time.sleep(SLEEP_S)
         self.send_response(200)
@@ -94,7 +97,11 @@
         "POST",
         "/v1/jobs",
         json={"route": "booking", "tasks": [{"body": "x"}] * count},
-        headers={"Idempotency-Key": key, "traceparent": f"00-{trace_id}-{CALLER_SPAN}-01"},
+        headers={
+            "Idempotency-Key": key,
+            "traceparent": f"00-{trace_id}-{CALLER_SPAN}-01",
+            "tracestate": STATE,
+        },
     )
     assert response.status_code == 200, response.text
 
@@ -170,6 +177,8 @@
         spans = read_spans(context, context.trace_id, name="upstream request", host=host)
         sent = sorted(f"00-{span['trace_id']}-{span['span_id']}-01" for span in spans)
         assert sorted(recorder.contexts) == sent, (host, recorder.contexts, sent)
+        # Tasks that moved carry the caller's state too.
+        assert set(recorder.states) == {STATE}, recorder.states
 
 
 @when("a sampled traced job goes to the first daemon under a prefix of the second")
@@ -194,6 +203,7 @@
     assert names == ["queue wait"] * 2 + ["upstream request"] * 2, names
     assert {span["parent_id"] for span in rest} == {forward["span_id"]}, rest
     assert {span["host"] for span in rest} == {"d2"}, rest
+    assert {state for recorder in context.recorders for state in recorder.states} == {STATE}
 
 
 @when("traced requests come unsampled, without context and with broken contexts")
@@ -202,7 +212,7 @@
     contexts: tuple[str | None, ...] = (context.unsampled, None, *BROKEN)
     context.got = []
     for sent in contexts:
-        headers = {} if sent is None else {"traceparent": sent}
+        headers = {"tracestate": STATE} | ({} if sent is None else {"traceparent": sent})
         before = [len(recorder.contexts) for recorder in context.recorders]
         response = context.deployment.call(
             "d1", "POST", "/v1/requests/booking", content=b"x", headers=headers
@@ -211,7 +221,7 @@
         new = [
             got
             for recorder, start in zip(context.recorders, before, strict=True)
-            for got in recorder.contexts[start:]
+            for got in (*recorder.contexts[start:], *recorder.states[start:])
         ]
         context.got.append((sent, *new))
 
@@ -219,7 +229,8 @@
 @then("each traced upstream got an unsampled context, the caller's own where that was valid")
 def check_unsampled(context: Context) -> None:
     assert len(context.got) == 2 + len(BROKEN)
-    for sent, got in context.got:
+    for sent, got, state in context.got:
+        assert state == (STATE if sent == context.unsampled else ""), (sent, state)
         assert re.fullmatch("00-[0-9a-f]{32}-[0-9a-f]{16}-00", got), (sent, got)
         assert (got == sent) == (sent == context.unsampled), (sent, got)
 
--- a/packages/core/src/fireflybridge_core/_tasks.py
+++ b/packages/core/src/fireflybridge_core/_tasks.py
@@ -38,6 +38,7 @@
     deadline: float
     traceparent: str = ""
     attempt: int = 1
+    tracestate: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,3 +64,4 @@
     is_job: bool = True
     deadline_s: float | None = None
     traceparent: str = ""
+    tracestate: str = ""
--- a/packages/daemon/src/fireflybridge_daemon/_tasks.py
+++ b/packages/daemon/src/fireflybridge_daemon/_tasks.py
@@ -31,6 +31,7 @@
             timeout_s=route.timeout_ms / 1000,
             deadline=now + allowed_s,
             traceparent=submission.traceparent,
+            tracestate=submission.tracestate,
         )
         for index, payload in enumerate(submission.payloads)
     )
--- a/packages/front/src/fireflybridge_front/_requests.py
+++ b/packages/front/src/fireflybridge_front/_requests.py
@@ -24,6 +24,9 @@
 MAX_DEADLINE_MS = 3_600_000
 DEADLINE_MS = re.compile(rb"[0-9]{1,7}")
 MAX_HEADER_BYTES = 16 * 1024
+# W3C Trace Context asks for 512 characters at least; tasks keep the state while they wait.
+MAX_TRACESTATE_LENGTH = 512
+TRACE_ID = slice(3, 35)
 # Visible ASCII and spaces, so that a key in a header and in a path is the same text.
 HEADER_TEXT = re.compile(rb"[ -~]*")
 
@@ -52,6 +55,7 @@
     content_type: str
     respond_async: bool
     deadline_ms: int | None
+    tracestate: str
 
 
 def read_head(fields: Sequence[tuple[bytes, bytes]], traceparent: str) -> Result[Head, Refused]:
@@ -88,10 +92,27 @@
             ),
             respond_async=b"respond-async" in headers.get(b"prefer", b""),
             deadline_ms=int(deadline) if deadline else None,
+            tracestate=_read_tracestate(fields, traceparent),
         )
     )
 
 
+def _read_tracestate(fields: Sequence[tuple[bytes, bytes]], traceparent: str) -> str:
+    """Return the caller's trace state, if the request's own trace is the caller's.
+
+    A state that exceeds the length loses its last members, as the recommendation allows.
+    """
+    sent = dict(fields).get(b"traceparent", b"").decode("latin-1")
+    if not traceparent or traceparent[TRACE_ID] != sent[TRACE_ID]:
+        return ""
+    state = b",".join(value for name, value in fields if name == b"tracestate")
+    if not HEADER_TEXT.fullmatch(state):
+        return ""
+    if len(state) > MAX_TRACESTATE_LENGTH:
+        state = state[: MAX_TRACESTATE_LENGTH + 1].rpartition(b",")[0]
+    return state.decode().strip()
+
+
 def check_key(key: str) -> Refused | None:
     """Return the refusal of a key that is too long."""
     if len(key) <= MAX_KEY_LENGTH:
@@ -155,4 +176,5 @@
         is_job=is_job,
         deadline_s=None if deadline_ms is None else deadline_ms / 1000,
         traceparent=head.traceparent,
+        tracestate=head.tracestate,
     )
--- a/packages/peers/src/fireflybridge_peers/_conversion.py
+++ b/packages/peers/src/fireflybridge_peers/_conversion.py
@@ -132,6 +132,7 @@
         task.remaining_s,
         task.traceparent,
         task.attempt,
+        task.tracestate,
     )
 
 
@@ -150,6 +151,7 @@
         wire.remaining_s,
         wire.traceparent,
         wire.attempt,
+        wire.tracestate,
     )
 
 
@@ -247,6 +249,7 @@
         submission.is_job,
         submission.deadline_s,
         submission.traceparent,
+        submission.tracestate,
     )
 
 
@@ -259,4 +262,5 @@
         wire.is_job,
         wire.deadline_s,
         wire.traceparent,
+        wire.tracestate,
     )
--- a/packages/peers/src/fireflybridge_peers/_messages.py
+++ b/packages/peers/src/fireflybridge_peers/_messages.py
@@ -73,6 +73,7 @@
     remaining_s: float
     traceparent: str = ""
     attempt: int = 1
+    tracestate: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -238,6 +239,7 @@
         remaining_s=task.deadline - now,
         traceparent=task.traceparent,
         attempt=task.attempt,
+        tracestate=task.tracestate,
     )
 
 
@@ -257,6 +259,7 @@
         deadline=now + task.remaining_s,
         traceparent=task.traceparent,
         attempt=task.attempt,
+        tracestate=task.tracestate,
     )
 
 
--- a/packages/peers/src/fireflybridge_peers/_wire.py
+++ b/packages/peers/src/fireflybridge_peers/_wire.py
@@ -79,6 +79,7 @@
     remaining_s: float
     traceparent: str
     attempt: int
+    tracestate: str = ""
 
 
 class WireAssign(Struct, array_like=True, frozen=True, tag=3):
@@ -170,6 +171,7 @@
     is_job: bool
     deadline_s: float | None
     traceparent: str
+    tracestate: str = ""
 
 
 class WireFetch(Struct, array_like=True, frozen=True, tag=9):
--- a/packages/upstream/src/fireflybridge_upstream/_requests.py
+++ b/packages/upstream/src/fireflybridge_upstream/_requests.py
@@ -24,7 +24,7 @@
     """Return a task's request with the time it may take, in seconds."""
     return b"%b%bContent-Length: %d\r\nFireflybridge-Timeout-Ms: %d\r\n%b\r\n%b" % (
         _encode_start(authority, task.path),
-        _encode_headers(task.content_type, task.traceparent),
+        _encode_headers(task.content_type, task.traceparent, task.tracestate),
         len(task.body),
         limit_s * MS_PER_S,
         b"%b%d\r\n" % (_encode_key(task.id.key), task.id.index) if task.id.key else b"",
@@ -38,10 +38,12 @@
 
 
 @lru_cache(KEPT_HEADS)
-def _encode_headers(content_type: str, traceparent: str) -> bytes:
+def _encode_headers(content_type: str, traceparent: str, tracestate: str) -> bytes:
     headers = [(b"Content-Type", content_type.encode())]
     if traceparent:
         headers.append((b"Traceparent", traceparent.encode()))
+    if tracestate:
+        headers.append((b"Tracestate", tracestate.encode()))
     return _encode_head(b"-", "/", headers).removeprefix(_encode_start(b"-", "/"))
 
 
