Hold a team's limit over all daemons together

A quota's `max_share` limited one daemon's use only, so a team that sent its jobs through n daemons used up to n times its limit. With the sharing switched off in a scratch copy, three daemons ran 14 tasks of a team with a limit of 6 at once (features/quotas.feature, last scenario: fails there, passes here).

Heartbeats now report what limited teams hold and want through a daemon. A task counts at the daemon where it entered, so it counts once and none waits at a peer for a limit. Each daemon always has its fair part; it borrows more only up to a want that every peer has said it heard of. Offers and pulls leave out tasks that a limit blocks.

The report is an optional last field of the heartbeat: the earlier version skips it and sends none, under the same protocol version.

--- /dev/null
+++ b/features/quotas.feature
@@ -0,0 +1,44 @@
+Feature: A team's limit holds over all daemons together
+
+  # Guards against parts that exceed the limit together, leave it unused, or block a daemon for good.
+  Scenario Outline: The daemons that want more share the limit
+    Given quota daemons that hold and want "<claims>"
+    Then their quota parts of a limit of <limit> are "<parts>"
+
+    Examples:
+      | limit | claims             | parts |
+      | 10    | 0/10, 0/0, 0/0     | 10,0,0 |
+      | 10    | 0/10, 0/10, 0/10   | 4,3,3 |
+      | 10    | 0/2, 0/10, 0/5     | 2,4,4 |
+      | 10    | 10/10, 0/10, 0/0   | 5,0,0 |
+      | 10    | 7/10, 0/10, 0/10   | 4,2,1 |
+
+  # Guards against a sum that passes the bound, whatever the order of reports, loads and run times.
+  Scenario: The sum over quota daemons keeps to the bound in any history
+    Then in any quota history of 4 daemons use stays within the limit and 3 fair parts
+    And in any quota history where every daemon wants all, use settles at the limit
+
+  # Guards against a limit that binds a team which nobody competes with, or that outlives a daemon.
+  Scenario: A team alone uses its whole limit through one daemon
+    Given 3 quota daemons whose team has a limit of 9
+    When quota daemon 1 wants 20 slots and reports pass
+    Then quota daemon 1 may use 9 slots
+    When quota daemon 2 wants 20 slots and reports pass
+    Then quota daemon 1 may use 5 slots
+    And quota daemon 2 may use 4 slots
+    When quota daemon 1 is lost and reports pass
+    Then quota daemon 2 may use 9 slots
+
+  # Guards against a link that breaks when one end does not know quota reports.
+  Scenario: Daemons of the earlier version read heartbeats with a quota report, and send none
+    Then a heartbeat with a quota report is read by the earlier version and theirs here
+
+  # Guards against a limit that each daemon counts for itself, or that costs others their slots.
+  # 10 is the limit and the fair parts of two daemons: 6 + 2 x 6/3.
+  Scenario: A limit holds over the workers of three daemons
+    Given a deployment of three daemons whose team "small" may use 6 of 24 slots
+    When jobs of teams "small" and "big" enter all daemons at once
+    Then starts of "small" stay within 10 slots, and within 6 in the second half, when daemons have heard each other
+    And starts of "small" reach 6 slots and those of "big" 18 at the same time
+    When a job of team "small" enters daemon "d2" alone
+    Then starts of "small-alone" reach 6 slots
--- a/packages/daemon/src/fireflybridge_daemon/_mover.py
+++ b/packages/daemon/src/fireflybridge_daemon/_mover.py
@@ -217,7 +217,7 @@
         local = runner.local_slots
         prefetch = max(1, int(local * PREFETCH_SHARE))
         asked = sum(one.slots for place, one in self._asked.items() if place.pool == pool)
-        room = local - runner.running - runner.queue.queued - asked + prefetch
+        room = local - runner.running - runner.queue.startable - asked + prefetch
         if room < prefetch:
             return
         place = max(waiting, key=lambda candidate: waiting[candidate])
--- a/packages/dispatch/src/fireflybridge_dispatch/__init__.py
+++ b/packages/dispatch/src/fireflybridge_dispatch/__init__.py
@@ -4,6 +4,8 @@
 from fireflybridge_dispatch._attempts import MAX_ATTEMPTS
 from fireflybridge_dispatch._health import Ejected, Open, Permission, Probe, UpstreamHealth
 from fireflybridge_dispatch._queue import PoolQueue
+from fireflybridge_dispatch._quota_book import OwnReport, PeerReport, QuotaBook, TeamDemand
+from fireflybridge_dispatch._quotas import Allowance, TeamClaim, TeamKey
 from fireflybridge_dispatch._retries import RetryBudget
 from fireflybridge_dispatch._snapshot import QueueSnapshot, TeamSnapshot
 
@@ -11,15 +13,22 @@
     "MAX_ATTEMPTS",
     "Admission",
     "Admitted",
+    "Allowance",
     "Ejected",
     "Open",
+    "OwnReport",
+    "PeerReport",
     "Permission",
     "PoolQueue",
     "Probe",
     "QueueSnapshot",
+    "QuotaBook",
     "Refusal",
     "Refused",
     "RetryBudget",
+    "TeamClaim",
+    "TeamDemand",
+    "TeamKey",
     "TeamSnapshot",
     "UpstreamHealth",
 ]
--- a/packages/dispatch/src/fireflybridge_dispatch/_backlog.py
+++ b/packages/dispatch/src/fireflybridge_dispatch/_backlog.py
@@ -20,15 +20,20 @@
 
 
 class Team:
-    """Hold what one team uses of the pool."""
+    """Hold what one team uses of the pool.
 
-    __slots__ = ("lanes", "limit", "name", "running", "weight")
+    ``own`` counts its slots in use without the tasks of other daemons, which count there.
+    ``allowance`` is what it may use now, ``expected`` what admission counts on.
+    """
 
-    def __init__(self, name: str, weight: float, limit: int) -> None:
+    __slots__ = ("allowance", "expected", "lanes", "limit", "name", "own", "running", "weight")
+
+    def __init__(self, name: str) -> None:
         self.name = name
-        self.weight = weight
-        self.limit = limit
+        self.weight = 1.0
+        self.limit = self.allowance = self.expected = 1
         self.running = 0
+        self.own = 0
         self.lanes = tuple(Lane(self) for _ in WorkClass)
 
     @property
@@ -36,6 +41,11 @@
         """Return the number of queued tasks."""
         return sum(lane.queued for lane in self.lanes)
 
+    @property
+    def blocked(self) -> bool:
+        """Say whether the team uses all that it may."""
+        return self.own >= self.allowance
+
 
 class Job:
     """Hold the queued tasks of one submission."""
@@ -157,7 +167,7 @@
         """Return the job to serve next among those that can still meet their deadline."""
         while self._ranks:
             lane = self._ranks[0][4]
-            if self._ranks[0][3] != lane.version or lane.team.running >= lane.team.limit:
+            if self._ranks[0][3] != lane.version or lane.team.blocked:
                 heapq.heappop(self._ranks)
             elif (job := self._find_in_lane(lane, now)) is not None:
                 return job
@@ -171,7 +181,7 @@
             job = self._late[0][2]
             if not job.tasks or job.deadline <= now:
                 heapq.heappop(self._late)
-            elif job.lane.team.running >= job.lane.team.limit:
+            elif job.lane.team.blocked:
                 held.append(heapq.heappop(self._late))
             else:
                 found = job
--- a/packages/dispatch/src/fireflybridge_dispatch/_queue.py
+++ b/packages/dispatch/src/fireflybridge_dispatch/_queue.py
@@ -1,7 +1,7 @@
 """State of one pool's queue in one daemon."""
 
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple
 
 from fireflybridge_core import Cause, Done, MayHaveRun, NotRun, Outcome, Task, TaskId
@@ -26,19 +26,17 @@
 from fireflybridge_dispatch._classes import WorkClass
 from fireflybridge_dispatch._index import JobIndex
 from fireflybridge_dispatch._kinds import Kinds
+from fireflybridge_dispatch._limits import Teams
 from fireflybridge_dispatch._order import JobView, find_due
+from fireflybridge_dispatch._quota_book import TeamDemand
+from fireflybridge_dispatch._quotas import Allowance
 from fireflybridge_dispatch._returned import ReturnedTasks
-from fireflybridge_dispatch._shares import (
-    find_demand,
-    find_fair_slots,
-    limit_slots,
-)
+from fireflybridge_dispatch._shares import find_demand, find_fair_slots
 from fireflybridge_dispatch._slots import SlotUse
 from fireflybridge_dispatch._snapshot import QueueSnapshot, TeamSnapshot
 from fireflybridge_dispatch._takers import Taker, Takers, waits_for_faster
-from fireflybridge_tables import Pool, Quota
+from fireflybridge_tables import Pool
 
-MAX_TEAMS = 256  # teams kept without queued or running tasks
 REMOTE = ""  # upstream name of tasks that another daemon pulled
 
 
@@ -48,6 +46,7 @@
     team: Team
     work_class: WorkClass
     upstream: str
+    guest: bool = False
 
 
 class PoolQueue:
@@ -61,7 +60,7 @@
         self._returned = ReturnedTasks()
         self._backlogs = tuple(Backlog(self._count_slots) for _ in WorkClass)
         self._arrivals = tuple(ArrivalRates() for _ in WorkClass)
-        self._teams: dict[str, Team] = {}
+        self._teams = Teams(pool, self._slots.total)
         self._jobs = JobIndex()
         self._running: dict[TaskId, _Start] = {}
         self._window_parts = [MOST_OF_WINDOW for _ in WorkClass]
@@ -76,7 +75,12 @@
     @property
     def movable(self) -> int:
         """Return the number of waiting tasks that another daemon may pull."""
-        return self.queued - self._returned.pinned
+        return max(0, self.startable - self._returned.pinned)
+
+    @property
+    def startable(self) -> int:
+        """Return the number of waiting tasks that no limit of their team keeps from starting."""
+        return max(0, self.queued - self._teams.count_blocked(self._clock()))
 
     @property
     def free(self) -> int:
@@ -86,7 +90,7 @@
     def configure(self, pool: Pool) -> None:
         """Apply the pool of the tables now in force."""
         self._pool = pool
-        self._quotas = {quota.team: quota for quota in pool.quotas}
+        self._teams.configure(pool)
         self._takers.keep_only(frozenset(upstream.name for upstream in pool.upstreams))
         self._apply_limits()
 
@@ -95,6 +99,18 @@
         self._slots.total, self._slots.local = total, local
         self._apply_limits()
 
+    def share_limits(self, daemons: int, allowances: Mapping[str, Allowance]) -> None:
+        """Set what the other daemons leave of the teams' limits."""
+        self._teams.share(daemons, allowances)
+
+    def list_demands(self) -> tuple[TeamDemand, ...]:
+        """Return what limited teams hold and queue through this daemon."""
+        return tuple(self._teams.list_demands())
+
+    def is_guest(self, task: Task) -> bool:
+        """Tell whether a running task is another daemon's."""
+        return task.id in self._running and self._running[task.id].guest
+
     def admit(self, tasks: Sequence[Task]) -> Admission:
         """Decide whether the tasks of one submission can be answered within their deadline."""
         if self._slots.total <= 0:
@@ -103,7 +119,7 @@
             return Refused(Refusal.QUEUE_FULL, QUEUE_FULL_RETRY_S)
         first = tasks[0]
         run_time, work_class = self._kinds.estimate(first)
-        team, backlog = self._find_team(first.team), self._backlogs[work_class]
+        team, backlog = self._teams.find(first.team), self._backlogs[work_class]
         now, slots = self._clock(), self._count_slots()
         view = JobView(now, first.deadline, len(tasks), run_time.mean_s, run_time.typical_s)
         due = find_due(view, slots)
@@ -114,7 +130,7 @@
             typical_s=run_time.typical_s,
             high_s=run_time.high_s,
             weight=team.weight,
-            slots=team.limit,
+            slots=team.expected,
         )
         load = Load(
             slots=self._count_class_slots(work_class, now),
@@ -135,7 +151,7 @@
         """Queue the tasks of one submission and wake waiting slots."""
         first = tasks[0]
         run_time, work_class = self._kinds.estimate(first)
-        team, backlog = self._find_team(first.team), self._backlogs[work_class]
+        team, backlog = self._teams.find(first.team), self._backlogs[work_class]
         now = self._clock()
         if not self.queued:
             self._slots.backlog_since = now
@@ -146,13 +162,13 @@
         self._jobs.add(job)
         self._hand_out()
 
-    def accept(self, tasks: Sequence[Task]) -> None:
-        """Queue tasks that another daemon handed over; they are never moved on."""
+    def accept(self, tasks: Sequence[Task], guests: bool = True) -> None:
+        """Queue tasks that are never moved on, by default as those of another daemon."""
         now = self._clock()
         for task in tasks:
             _, work_class = self._kinds.estimate(task)
-            self._returned.pin(task.id)
-            self._returned.add(task, self._find_team(task.team), work_class, frozenset(), now)
+            self._returned.pin(task.id, guests)
+            self._returned.add(task, self._teams.find(task.team), work_class, frozenset(), now)
         self._hand_out()
 
     async def take(self, upstream: str) -> Task:
@@ -289,7 +305,9 @@
         """Remove and return the next task for a slot of the upstream, and count it as running."""
         now = self._clock()
         if self._returned and (again := self._returned.take(upstream, now)) is not None:
-            self._start(again.task, _Start(again.team, again.work_class, upstream), now)
+            self._start(
+                again.task, _Start(again.team, again.work_class, upstream, again.guest), now
+            )
             return again.task
         job = self._find_job(now)
         if job is None:
@@ -318,6 +336,7 @@
     def _start(self, task: Task, start: _Start, now: float) -> None:
         """Count a task as running."""
         self._running[task.id] = start
+        start.team.own += not start.guest
         long_queued = self._backlogs[WorkClass.LONG].queued
         self._slots.start(start.work_class, start.upstream == REMOTE, long_queued)
         self._change_use(start.team, start.work_class, 1, now)
@@ -326,6 +345,7 @@
         """Count a task as no longer running."""
         start = self._running.pop(task_id, None)
         if start is not None:
+            start.team.own -= not start.guest
             self._slots.end(start.work_class, start.upstream == REMOTE)
             self._change_use(start.team, start.work_class, -1, self._clock())
         return start
@@ -360,24 +380,9 @@
         if upstream != REMOTE:
             self._takers.learn_pace(upstream, run_s, run_time.typical_s)
 
-    def _find_team(self, name: str) -> Team:
-        """Return the state of a team."""
-        team = self._teams.get(name)
-        if team is None:
-            if len(self._teams) >= MAX_TEAMS:
-                self._teams = {
-                    name: one for name, one in self._teams.items() if one.running or one.queued
-                }
-            quota = self._quotas.get(name, Quota(name))
-            team = Team(name, quota.weight, limit_slots(quota, max(self._slots.total, 1)))
-            self._teams[name] = team
-        return team
-
     def _apply_limits(self) -> None:
         """Apply quotas and slots to the teams at hand."""
-        for team in self._teams.values():
-            quota = self._quotas.get(team.name, Quota(team.name))
-            team.weight, team.limit = quota.weight, limit_slots(quota, max(self._slots.total, 1))
+        self._teams.set_slots(self._slots.total)
         self._refresh_shares(self._clock())
         self._hand_out()
 
--- a/packages/peers/src/fireflybridge_peers/_conversion.py
+++ b/packages/peers/src/fireflybridge_peers/_conversion.py
@@ -1,5 +1,7 @@
 """Conversion between messages and their wire structs."""
 
+from itertools import chain
+
 from fireflybridge_core import (
     Answer,
     Cause,
@@ -101,6 +103,7 @@
         heartbeat.tables_revision,
         heartbeat.log_reachable,
         tuple(w.WirePoolLoad(load.pool, load.queued, load.free_slots) for load in heartbeat.pools),
+        None if heartbeat.quotas is None else _pack_quotas(heartbeat.quotas),
     )
 
 
@@ -114,7 +117,37 @@
         wire.tables_revision,
         wire.log_reachable,
         tuple(m.PoolLoad(load.pool, load.queued, load.free_slots) for load in wire.pools),
+        None if wire.quotas is None else _unpack_quotas(wire.quotas),
+    )
+
+
+def _pack_quotas(report: m.QuotaReport) -> w.WireQuotaReport:
+    pools = (
+        (
+            claims.pool,
+            tuple(chain.from_iterable((use.place, use.held, use.wanted) for use in claims.teams)),
+        )
+        for claims in report.pools
+    )
+    return w.WireQuotaReport(report.number, report.heard, report.complete, tuple(pools))
+
+
+def _unpack_quotas(wire: w.WireQuotaReport) -> m.QuotaReport:
+    if any(number < 0 for _, numbers in wire.pools for number in numbers):
+        raise ValueError("a count of a quota report is below 0")
+    pools = (
+        m.PoolClaims(
+            pool,
+            tuple(
+                m.TeamUse(place, held, wanted)
+                for place, held, wanted in zip(
+                    numbers[::3], numbers[1::3], numbers[2::3], strict=True
+                )
+            ),
+        )
+        for pool, numbers in wire.pools
     )
+    return m.QuotaReport(wire.number, wire.heard, wire.complete, tuple(pools))
 
 
 def _pack_task(task: m.AssignedTask) -> w.WireTask:
--- a/packages/peers/src/fireflybridge_peers/_messages.py
+++ b/packages/peers/src/fireflybridge_peers/_messages.py
@@ -24,11 +24,46 @@
     free_slots: int
 
 
+@dataclass(frozen=True, slots=True)
+class TeamUse:
+    """Count the slots that a limited team holds and wants through one daemon.
+
+    ``place`` is that of its quota in the pool, under the revision of the heartbeat.
+    """
+
+    place: int
+    held: int
+    wanted: int
+
+
+@dataclass(frozen=True, slots=True)
+class PoolClaims:
+    """Hold the use of a pool's limited teams."""
+
+    pool: str
+    teams: tuple[TeamUse, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaReport:
+    """Hold a daemon's numbered report on limited teams.
+
+    ``heard`` is the number of the receiver's last report that it was made after, or 0.
+    ``complete`` says that no team in use was left out.
+    """
+
+    number: int
+    heard: int
+    complete: bool
+    pools: tuple[PoolClaims, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
     """Describe the sender.
 
     ``tables_revision`` is the revision in force at the sender, or empty when it has none.
+    ``quotas`` is none from a daemon that does not report on limited teams.
     """
 
     name: str
@@ -38,6 +73,7 @@
     tables_revision: str
     log_reachable: bool
     pools: tuple[PoolLoad, ...] = ()
+    quotas: QuotaReport | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/peers/src/fireflybridge_peers/_wire.py
+++ b/packages/peers/src/fireflybridge_peers/_wire.py
@@ -39,14 +39,27 @@
     free_slots: int
 
 
+class WireQuotaReport(Struct, array_like=True, frozen=True):
+    """Encode ``QuotaReport``; a pool is its name and its teams' place, held, wanted in a row."""
+
+    number: int
+    heard: int
+    complete: bool
+    pools: tuple[tuple[str, tuple[int, ...]], ...]
+
+
 class WireHeartbeat(Struct, array_like=True, frozen=True, tag=0):
-    """Encode ``Heartbeat``; name and incarnation are those of the link's session."""
+    """Encode ``Heartbeat``; name and incarnation are those of the link's session.
+
+    ``quotas`` came later: daemons of earlier versions skip it, and send none.
+    """
 
     failure_domain: str
     state: str
     tables_revision: str
     log_reachable: bool
     pools: tuple[WirePoolLoad, ...]
+    quotas: WireQuotaReport | None = None
 
 
 class WireBacklog(Struct, array_like=True, frozen=True, tag=1):
