Serve a removed pool while another daemon has tasks queued for it

A daemon dropped the runner of a pool that had left the tables as soon as its own queue was empty, and with it the upstreams that it served. Tasks that other daemons still had queued for the pool lost these slots; where a daemon served none of the pool itself they waited until their deadline. The runner now stays while a heard peer reports queued tasks of the pool, or has other tables in force and may still accept some.

The new scenario keeps d1 idle by a cut link while the pool is removed: without the change d1 never ran a task of the job after the link healed (30 s), with it the job completes with d1's help.

--- a/features/recovery.feature
+++ b/features/recovery.feature
@@ -54,3 +54,10 @@
     Given a mover with 0 queued tasks
     When a peer offers 4 tasks to the mover every 0.2 s for 4 s and never answers
     Then the mover has asked that peer 4 times
+
+  Scenario: A pool that left the tables is served until no daemon has tasks queued for it
+    Given a checked deployment of 2 daemons
+    When the pool of a job queued at d2 is removed while d2 can hand nothing to d1
+    And the link from d2 to d1 heals
+    Then d1 runs tasks of that job
+    And the submissions' answers agree with the start records
--- a/features/steps/moves.py
+++ b/features/steps/moves.py
@@ -6,7 +6,10 @@
 from behave import given, then, when
 from behave.runner import Context
 from result import Ok
+from support.checks import expect, make_request
+from support.deployment import Deployment
 from support.dispatch import Bench
+from support.processes import wait_until
 
 from fireflybridge_core import MayHaveRun, Outcome, Task
 from fireflybridge_daemon._mover import Mover
@@ -88,3 +91,41 @@
 @then("the mover has asked that peer {times:d} times")
 def check_asked(context: Context, times: int) -> None:
     assert context.desk.sent == [Pull("p", 4)] * times, context.desk.sent
+
+
+@when("the pool of a job queued at d2 is removed while d2 can hand nothing to d1")
+def remove_pool(context: Context) -> None:
+    deployment: Deployment = context.deployment
+    deployment.proxy.set_faults("d2-d1", faults=[{"kind": "drop"}])
+    prefix = deployment.make_prefix("d2")
+    jobs = [make_request(100, 400, prefix=prefix, deadline_ms=30_000) for _ in range(2)]
+    context.sent = [context.ledger.send("d2", job) for job in jobs]
+    context.ledger.wait_started(jobs[0])
+    routes, pools = deployment.plan.routes, deployment.make_pools()
+    deployment.publish(routes.replace('"desk"', '"spare"'), pools.replace('"desk"', '"spare"'))
+    for name in deployment.daemons:
+        wait_until(
+            lambda n=name: deployment.read_status(n)["tables_revision"] == deployment.revision,
+            detail=f"the revision at {name}",
+        )
+    # Tasks that start after the change one after the other give an idle pool the time to go.
+    started = len(deployment.read_starts())
+    wait_until(
+        lambda: len(deployment.read_starts())
+        > started + 2 * deployment.plan.workers * deployment.plan.slots
+    )
+
+
+@when("the link from d2 to d1 heals")
+def heal_link(context: Context) -> None:
+    context.deployment.proxy.clear_faults("d2-d1")
+
+
+@then("d1 runs tasks of that job")
+def check_helped(context: Context) -> None:
+    wait_until(
+        lambda: context.deployment.read_status("d1")["tasks_accepted_from_peers"] > 0,
+        detail="d1 has tasks of d2",
+    )
+    for call in context.sent:
+        expect(call.result(), state="complete")
--- a/packages/daemon/src/fireflybridge_daemon/_configuration.py
+++ b/packages/daemon/src/fireflybridge_daemon/_configuration.py
@@ -149,16 +149,17 @@
                         fault="not a record of the tables in force, from a peer",
                     )
 
-    def retire_idle(self, has_assigned: Callable[[str], bool]) -> None:
+    def retire_idle(self, is_needed: Callable[[str], bool]) -> None:
         """Drop the runners of pools that left the tables and have nothing left to do.
 
-        ``has_assigned`` tells whether peers hold tasks of a pool; they may give them back. A pool
+        ``is_needed`` tells whether peers hold tasks of a pool, which they may give back, or have
+        tasks queued for it, which count on the upstreams that this daemon serves. A pool
         must be idle at two calls: a task on its way to a slot shows neither as queued nor running.
         """
         idle = {
             name
             for name, runner in self._runners.items()
-            if name not in self._state.tables.pools and runner.idle and not has_assigned(name)
+            if name not in self._state.tables.pools and runner.idle and not is_needed(name)
         }
         for name in idle & self._idle_before:
             self._runners.pop(name).withdraw()
--- a/packages/daemon/src/fireflybridge_daemon/_daemon.py
+++ b/packages/daemon/src/fireflybridge_daemon/_daemon.py
@@ -203,6 +203,9 @@
     def _is_wanted(self, task: Task) -> bool:
         return self.mover.has_accepted(task) or self.submissions.is_wanted(task)
 
+    def _is_needed(self, pool: str) -> bool:
+        return self.mover.has_assigned(pool) or self.peering.is_awaited(pool)
+
     def _make_runner(self, pool: Pool) -> PoolRunner:
         return PoolRunner(pool, self._group, self.metrics, self._hooks)
 
@@ -239,7 +242,7 @@
             await anyio.sleep(HOUSEKEEPING_S)
             self.metrics.loop_lag.set(time.monotonic() - slept_at - HOUSEKEEPING_S)
             self.book.expire()
-            self.configuration.retire_idle(self.mover.has_assigned)
+            self.configuration.retire_idle(self._is_needed)
             for runner in self.configuration.runners:
                 for task in runner.queue.expire():
                     self._deliver(task, NotRun(Cause.DEADLINE_PASSED))
--- a/packages/daemon/src/fireflybridge_daemon/_peering.py
+++ b/packages/daemon/src/fireflybridge_daemon/_peering.py
@@ -212,6 +212,18 @@
         )
         return tuple(sorted(helpers, key=lambda helper: -helper.free_slots)[:limit])
 
+    def is_awaited(self, pool: str) -> bool:
+        """Tell whether a heard peer has tasks of a pool queued.
+
+        A peer with other tables in force may still accept some.
+        """
+        revision = self._configuration.state.revision_id
+        return any(
+            beat.tables_revision != revision
+            or any(load.pool == pool and load.queued for load in beat.pools)
+            for _, beat in self._list_beats()
+        )
+
     def find_runner(self, pool: str) -> PoolRunner | None:
         """Return the runner of a pool."""
         return self._configuration.find_runner(pool)
