Let one of two daemons with the same name give way

A daemon now links to an entry of the host list that has its own name and another address. Hearing another incarnation there it writes event 3008, which names the setting. The one that has only started gives way, else that of the greater incarnation: it owns nothing and is not ready until the other was silent for 3 s.

The two may overlap until the host list and a heartbeat have told them, about a second with the default settings. A daemon that listens on another address than the one listed keeps a link to itself.

--- a/features/steps/telemetry.py
+++ b/features/steps/telemetry.py
@@ -9,11 +9,14 @@
 import httpx
 from behave import given, then, when
 from behave.runner import Context
+from support.control import send_control
 from support.deployment import Deployment, Plan
 from support.processes import wait_until
 
 FEATURES = Path(__file__).parents[1]
 SETTINGS_PAGE = Path(__file__).parents[2] / "docs" / "reference" / "settings.md"
+# Heartbeats of two daemons at one a second, over more than the 3 s after which one is lost.
+HEARTBEATS = 12
 PEER_KEY = "pk-5d1f0c7e9b3a4826"
 PAYLOAD = "payload-c0ffee"
 KEY = "caller-key-c0ffee"
@@ -263,3 +266,60 @@
     for name, daemon in context.deployment.daemons.items():
         assert daemon.address.startswith("[::1]:"), daemon.ready
         assert context.deployment.submit(name, f"{KEY}-{name}", ["x"] * 2).status_code == 200
+
+
+@given("a telemetry daemon, and a second one under its name")
+def start_namesakes(context: Context) -> None:
+    context.deployment = Deployment(context.processes, Plan(daemons=1))
+    context.deployment.start()
+    first = context.deployment.daemons["d1"]
+    context.namesakes = [first, context.deployment.start_daemon("d1")]
+
+
+def read_roles(context: Context) -> list[tuple[bool, set[str]]]:
+    """Return whether each daemon under the name is ready, and what it owns."""
+    statuses = [
+        send_control(daemon.ready["operators"], "GET", "/v1/status")
+        for daemon in context.namesakes
+        if daemon.is_running()
+    ]
+    return [(status["ready"], set(status["pools"][0]["owned"])) for status in statuses]
+
+
+@then("both write which setting is wrong, and one of them alone owns the upstreams and is ready")
+def check_namesakes(context: Context) -> None:
+    for daemon in context.namesakes:
+        wait_until(lambda one=daemon: '"event_id": 3008' in one.read_stderr(), detail="event 3008")
+    events = [
+        json.loads(line)
+        for daemon in context.namesakes
+        for line in daemon.read_stderr().splitlines()
+        if '"event_id": 3008' in line
+    ]
+    assert {(event["setting"], event["value"]) for event in events} == {("--name", "d1")}, events
+    everything = set(context.deployment.worker_addresses)
+    wanted = [(False, set()), (True, everything)]
+    wait_until(lambda: sorted(read_roles(context)) == wanted, detail=f"one of the two has {wanted}")
+    # Guards against a daemon that takes over again while it still hears the other.
+    before = count_heartbeats(context)
+    wait_until(lambda: count_heartbeats(context) >= before + HEARTBEATS, detail="heartbeats")
+    assert sorted(read_roles(context)) == wanted, read_roles(context)
+
+
+def count_heartbeats(context: Context) -> float:
+    """Return how many heartbeats the two daemons have received."""
+    sample = 'fireflybridge_peer_messages_total{direction="in",kind="Heartbeat"} '
+    texts = [
+        httpx.get(f"http://{one.ready['operators']}/metrics", trust_env=False).text
+        for one in context.namesakes
+    ]
+    lines = [line for text in texts for line in text.splitlines() if line.startswith(sample)]
+    return sum(float(line.removeprefix(sample)) for line in lines)
+
+
+@when("that one is killed, the other owns the upstreams and is ready")
+def kill_namesake(context: Context) -> None:
+    roles = read_roles(context)
+    context.namesakes[[ready for ready, _ in roles].index(True)].kill()
+    everything = set(context.deployment.worker_addresses)
+    wait_until(lambda: read_roles(context) == [(True, everything)], detail="the other took over")
--- a/features/telemetry.feature
+++ b/features/telemetry.feature
@@ -40,3 +40,8 @@
   Scenario: Daemons serve callers, operators and each other over IPv6
     Given a telemetry deployment of 2 daemons with IPv6 addresses
     Then each telemetry daemon of them answers a job at the address that it announced
+
+  Scenario: Of two daemons with one name, one gives way until the other is gone
+    Given a telemetry daemon, and a second one under its name
+    Then both write which setting is wrong, and one of them alone owns the upstreams and is ready
+    When that one is killed, the other owns the upstreams and is ready
--- a/packages/daemon/src/fireflybridge_daemon/_daemon.py
+++ b/packages/daemon/src/fireflybridge_daemon/_daemon.py
@@ -99,7 +99,7 @@
 
     def is_ready(self) -> bool:
         """Tell whether the balancer may send requests."""
-        return self._ready and self.configuration.loaded
+        return self._ready and self.configuration.loaded and not self.peering.yields
 
     def describe_status(self) -> dict[str, Any]:
         """Return the daemon's status as JSON data."""
@@ -137,6 +137,7 @@
         """Start the tasks that follow the platform and the peers, and the operators' port."""
         handlers = Handlers(self.claims, self.forwarding, self.mover, self.submissions)
         self.peer_address = await self._group.start(self.peering.run, handlers)
+        self.peering.address = self.peer_address
         self._group.start_soon(self.configuration.follow)
         self._group.start_soon(self.peering.follow_hosts, hosts, self.settings.host_list_interval_s)
         self._group.start_soon(self.peering.follow_time)
--- a/packages/daemon/src/fireflybridge_daemon/_peering.py
+++ b/packages/daemon/src/fireflybridge_daemon/_peering.py
@@ -88,6 +88,8 @@
         self._clock = clock
         self._membership = Membership(settings.name, failure_domain, clock())
         self._limits = SharedLimits(settings.name, configuration, clock)
+        self._namesake = ""
+        self.address = ""
         self._beats: dict[str, Heartbeat] = {}
         self._differs_since: dict[str, float] = {}
         self._live: frozenset[str] = frozenset()
@@ -111,6 +113,11 @@
         """Return the state that heartbeats announce."""
         return self._membership.state
 
+    @property
+    def yields(self) -> bool:
+        """Tell whether this daemon gives way to another one of its name."""
+        return self._membership.yields(self._clock())
+
     async def run(self, handlers: Handlers, *, task_status: anyio.abc.TaskStatus[str]) -> None:
         """Serve the links until cancelled; report the listening address."""
         self._handlers = handlers
@@ -263,7 +270,7 @@
             log_event(Event.HOST_LIST_IGNORED, verdict=repr(verdict))
             return
         self._listed = hosts
-        wanted = {peer.name: peer for peer in self._membership.list_peers()}
+        wanted = {peer.name: peer for peer in self._membership.list_peers(self.address)}
         for name in self._connected - wanted.keys():
             self._links.disconnect(name)
         for peer in wanted.values():
@@ -324,7 +331,28 @@
             case TablesSend():
                 self._configuration.adopt(message)
 
+    def _hear_namesake(self, beat: Heartbeat) -> None:
+        """Report a second daemon of this name, and give everything up if this is the one to."""
+        if beat.incarnation == self._incarnation:
+            return
+        state = DaemonState(beat.state.value)
+        other = PeerReport(beat.name, beat.incarnation, beat.failure_domain, state)
+        yields = self._membership.hear_namesake(self._incarnation, other, self._clock())
+        if beat.incarnation != self._namesake:
+            log_event(
+                Event.NAME_TAKEN,
+                setting="--name",
+                value=self._name,
+                incarnation=beat.incarnation,
+                yields=yields,
+            )
+        self._namesake = beat.incarnation
+        self.update_ownership()
+
     def _hear(self, peer: str, beat: Heartbeat, parts: Handlers) -> None:
+        if peer == self._name:
+            self._hear_namesake(beat)
+            return
         known = self._beats.get(peer)
         if known is None or known.incarnation != beat.incarnation:
             log_event(Event.PEER_FOUND, peer=peer, incarnation=beat.incarnation)
--- a/packages/membership/src/fireflybridge_membership/_membership.py
+++ b/packages/membership/src/fireflybridge_membership/_membership.py
@@ -51,6 +51,18 @@
     remote: bool
 
 
+def should_yield(own: PeerReport, other: PeerReport) -> bool:
+    """Decide which of two daemons of one name gives way.
+
+    It is the one that has only started, so that the other goes on; else that of the greater
+    incarnation.
+    """
+    starting = own.state is DaemonState.STARTING
+    if starting != (other.state is DaemonState.STARTING):
+        return starting
+    return own.incarnation > other.incarnation
+
+
 class Membership:
     """Own what one daemon knows of the others and decide what it owns itself.
 
@@ -65,6 +77,7 @@
         self._state = DaemonState.STARTING
         self._started_at = now
         self._seen_at = now
+        self._yields_until = now
         self._heard: dict[str, HeardDaemon] = {}
         self._records: tuple[MemberRecord, ...] = ()
         self._peers: dict[str, PeerAddress] = {}
@@ -119,6 +132,23 @@
         if rejoined or known is None or known.state is not report.state:
             self._follow(now)
 
+    def hear_namesake(self, incarnation: str, other: PeerReport, now: float) -> bool:
+        """Return whether this daemon, of ``incarnation``, gives way to another one of its name.
+
+        It then owns nothing until the other was not heard for as long as a lost daemon.
+        """
+        self._note_time(now)
+        own = PeerReport(self._name, incarnation, self._failure_domain, self._state)
+        if self._state is DaemonState.DRAINING or not should_yield(own, other):
+            return False
+        self._yields_until = now + LOST_AFTER_S
+        self._rejoin(now)
+        return True
+
+    def yields(self, now: float) -> bool:
+        """Tell whether this daemon gives way to another one of its name."""
+        return now < self._yields_until
+
     def drain(self, now: float) -> None:
         """Give up everything to the other daemons."""
         self._note_time(now)
@@ -159,10 +189,19 @@
             ),
         )
 
-    def list_peers(self) -> tuple[PeerAddress, ...]:
-        """Return the daemons to keep links to."""
-        peers = (peer for name, peer in self._peers.items() if name != self._name)
-        return tuple(sorted(peers, key=lambda peer: peer.name))
+    def list_peers(self, own_address: str = "") -> tuple[PeerAddress, ...]:
+        """Return the daemons to keep links to.
+
+        One that is listed under this daemon's name at another address is among them: only an
+        answer tells whether it is this daemon or a second one.
+        """
+        peers = [peer for name, peer in self._peers.items() if name != self._name]
+        namesakes = [
+            self._locate(record)
+            for record in self._list_daemons()
+            if own_address and record.name == self._name and record.address != own_address
+        ]
+        return tuple(sorted([*peers, *namesakes[:1]], key=lambda peer: peer.name))
 
     def list_live(self, now: float) -> tuple[HeardDaemon, ...]:
         """Return the other daemons that are heard."""
@@ -223,6 +262,8 @@
 
     def _has_settled(self, now: float) -> bool:
         """Return whether every listed daemon was heard, or had the time to be heard."""
+        if self.yields(now):
+            return False
         if now - self._started_at >= LOST_AFTER_S:
             return True
         listed = {record.name for record in self._list_daemons() if not record.leaving}
--- a/packages/telemetry/src/fireflybridge_telemetry/_events.py
+++ b/packages/telemetry/src/fireflybridge_telemetry/_events.py
@@ -52,6 +52,12 @@
     PEER_MESSAGE_REJECTED = EventEntry(3005, Level.WARNING, "peer message rejected", ("error",))
     PEER_STALLED = EventEntry(3006, Level.WARNING, "peer does not acknowledge messages", ("peer",))
     PEER_SILENT = EventEntry(3007, Level.WARNING, "peer silent", ("peer",))
+    NAME_TAKEN = EventEntry(
+        3008,
+        Level.ERROR,
+        "another daemon runs under this daemon's --name",
+        ("setting", "value", "incarnation", "yields"),
+    )
     UPSTREAM_ACQUIRED = EventEntry(4001, Level.INFO, "upstream acquired", ("pool", "upstream"))
     UPSTREAM_RELEASED = EventEntry(4002, Level.INFO, "upstream released", ("pool", "upstream"))
     UPSTREAM_EJECTED = EventEntry(4003, Level.WARNING, "upstream ejected", ("pool", "upstream"))
