Keep abandoned attempts when other content is refused as a conflict

Cause: a chosen key whose claim timed out left an abandoned attempt, which may take effect in the log later. Other content under the key was then refused as a conflict, and the daemon forgot the attempt; the first content was afterwards refused as possibly run although nothing had started.

Change: the attempts stay when the answer is a conflict.

--- a/features/support/checks.py
+++ b/features/support/checks.py
@@ -88,19 +88,21 @@
     """Own the calls of one run; each runs on a thread of its own.
 
     ``killed`` and ``stopped`` hold the addresses of daemons that were killed or told to stop.
+    ``links`` holds the addresses of daemons that are called through a link of the proxy.
     """
 
     deployment: Deployment
     calls: list[Call] = field(default_factory=list)
     killed: set[str] = field(default_factory=set)
     stopped: set[str] = field(default_factory=set)
+    links: dict[str, str] = field(default_factory=dict)
     _pool: ThreadPoolExecutor = field(default_factory=lambda: ThreadPoolExecutor(MAX_CALLERS))
     _futures: "list[Future[Call]]" = field(default_factory=list)
     _lock: threading.Lock = field(default_factory=threading.Lock)
 
     def send(self, daemon: str, request: Request, method: str = "POST") -> "Future[Call]":
         """Start a call at a daemon; GET and DELETE act on the key of the request."""
-        address = self.deployment.daemons[daemon].address
+        address = self.links.get(daemon) or self.deployment.daemons[daemon].address
         future = self._pool.submit(self._call, daemon, address, request, method)
         self._futures.append(future)
         return future
--- a/packages/daemon/src/fireflybridge_daemon/_submissions.py
+++ b/packages/daemon/src/fireflybridge_daemon/_submissions.py
@@ -277,6 +277,8 @@
                 return launched
             case RefuseUnavailable():
                 self._book.note(key, Given(digest, attempts))
+            case RefuseConflict() if abandoned:  # one of them may hold the key for its content
+                self._book.note(key, Given(digest, abandoned))
             case _:
                 self._book.forget(key)
         return await self._refuse_or_forward(submission, digest, decided, forwarded)
