Wait for the killed daemon before its namesake is asked

The last step of the scenario on two daemons with one name asked a daemon that was still dying, and the broken call ended the scenario with an error: once in a run of telemetry.feature beside three other features. The step now waits for the exit.

--- a/features/steps/telemetry.py
+++ b/features/steps/telemetry.py
@@ -320,6 +320,9 @@
 @when("that one is killed, the other owns the upstreams and is ready")
 def kill_namesake(context: Context) -> None:
     roles = read_roles(context)
-    context.namesakes[[ready for ready, _ in roles].index(True)].kill()
+    owner = context.namesakes[[ready for ready, _ in roles].index(True)]
+    owner.kill()
+    # Asking a daemon that is still dying breaks the call.
+    owner.wait_exit()
     everything = set(context.deployment.worker_addresses)
     wait_until(lambda: read_roles(context) == [(True, everything)], detail="the other took over")
