Test that a domain that is cut off serves with its own upstreams

The existing scenario cut a daemon off but left every worker reachable for both sides, so it did not show that a domain lives on its own upstreams. The new one refuses connections to the other side's workers as well, one side at a time because all daemons share a worker's link, waits until each side has taken over what it no longer hears, and compares the jobs' start records with the domain's workers. After the links heal every daemon completes jobs and no start is repeated.

The check fails when the workers of the other side stay reachable. Unreachable workers refuse here; a connect that hangs until its timeout is not covered.

--- a/features/recovery.feature
+++ b/features/recovery.feature
@@ -61,3 +61,12 @@
     And the link from d2 to d1 heals
     Then d1 runs tasks of that job
     And the submissions' answers agree with the start records
+
+  Scenario: A failure domain that is cut off serves with its own upstreams
+    Given a checked deployment of 3 daemons
+    When the failure domain fd3 is cut off from the others and from the platform
+    Then jobs complete at d3 while it reaches only the upstreams of fd3
+    And jobs complete at d1 and d2 while they reach only the upstreams of fd1 and fd2
+    When the failure domain fd3 is joined again
+    Then every daemon has its upstreams back and completes jobs
+    And the submissions' answers agree with the start records
--- a/features/support/deployment.py
+++ b/features/support/deployment.py
@@ -98,7 +98,7 @@
         self.daemons[name] = self.processes.start(
             "fireflybridge_daemon",
             f"--name={name}",
-            f"--failure-domain={self._find_daemon_domain(name)}",
+            f"--failure-domain={self.find_daemon_domain(name)}",
             f"--platform-url={url}/view/{name}",
             "--insecure-peers",
             "--callers-address=127.0.0.1:0",
@@ -113,11 +113,11 @@
         """Give the platform the host list of this moment, as each daemon is to see it."""
         for viewer in self.daemons:
             entries = [
-                self._describe_host(name, "entry", self._find_daemon_domain(name), address)
+                self._describe_host(name, "entry", self.find_daemon_domain(name), address)
                 for name, address in self._find_peers(viewer)
             ]
             path = f"/view/{viewer}/control/hosts"
-            body = {"hosts": entries + self._describe_workers()}
+            body = {"hosts": entries + self.describe_workers()}
             send_control(self.platform.address, "PUT", path, body)
 
     def make_pools(self) -> str:
@@ -209,6 +209,19 @@
         """Set the platform's fault mode."""
         send_control(self.platform.address, "PUT", "/control/fault", rule)
 
+    def find_daemon_domain(self, name: str) -> str:
+        """Return the failure domain of a daemon."""
+        return self._find_domain(int(name.removeprefix("d")) - 1)
+
+    def describe_workers(self) -> list[dict[str, str]]:
+        """Return the entries of the workers in the host list."""
+        return [
+            self._describe_host(
+                name, "upstream", self._find_domain(index), self._find_worker(name, address)
+            )
+            for index, (name, address) in enumerate(self.worker_addresses.items())
+        ]
+
     def _find_peers(self, viewer: str) -> list[tuple[str, str]]:
         running = {name: p for name, p in self.daemons.items() if p.is_running()}
         return [
@@ -235,20 +248,9 @@
     def _find_worker(self, name: str, address: str) -> str:
         return address if self.proxy is None else self._link(f"worker-{name}", address)
 
-    def _find_daemon_domain(self, name: str) -> str:
-        return self._find_domain(int(name.removeprefix("d")) - 1)
-
     def _find_domain(self, index: int) -> str:
         return f"fd{index % (self.plan.domains or self.plan.daemons) + 1}"
 
-    def _describe_workers(self) -> list[dict[str, str]]:
-        return [
-            self._describe_host(
-                name, "upstream", self._find_domain(index), self._find_worker(name, address)
-            )
-            for index, (name, address) in enumerate(self.worker_addresses.items())
-        ]
-
     def _describe_host(self, name: str, role: str, domain: str, address: str) -> dict[str, str]:
         state = "leaving" if name in self.leaving else "live"
         return {
