List the seeds under which a flood still moves the others

Cause: the rule for flooding teams meets the target with seeds 1 to 3, and misses it with others. Change: the same check over seeds 4 to 18 lands as known red; the green scenario keeps its seeds.

--- a/features/dispatch.feature
+++ b/features/dispatch.feature
@@ -147,3 +147,9 @@
   Scenario: A flood by one team does not move the others
     When the dispatch probe runs seeds 1 to 3 with and without a flood
     Then dispatch p99 of short jobs of the others moves by at most a tenth with each seed
+
+  # The rule was chosen with seeds 1 to 12 in view; 13 to 18 were run once, afterwards.
+  @known_red
+  Scenario: A flood by one team does not move the others under further seeds
+    When the dispatch probe runs seeds 4 to 18 with and without a flood
+    Then dispatch p99 of short jobs of the others moves by at most a tenth with each seed
