--- a/features/dispatch.feature
+++ b/features/dispatch.feature
@@ -35,6 +35,12 @@
     When dispatch teams "a,b" put 400 tasks each and all slots take
     Then dispatch teams run "a 12, b 4"
 
+  # Guards against slots that stay idle while a silent peer holds tasks of the only team.
+  Scenario: Tasks at a peer take none of the slots here from a team without a limit
+    Given a dispatch pool of 4 upstreams with 4 slots
+    When a dispatch peer pulls 16 of 40 tasks of team "a" and all slots take
+    Then dispatch teams run "a 16"
+
   # Guards against a flood of small jobs that takes every other slot from a team's large job.
   Scenario: A team that floods the pool gives way to one that used little
     Given a dispatch pool of 4 upstreams with 4 slots
--- a/features/kill_points.feature
+++ b/features/kill_points.feature
@@ -28,6 +28,7 @@
       | kill  | d1     | d1    | any       | may-have-run | may-have-run | may-have-run | may-have-run |
       | pause | d1     | d1    | complete  | complete     | complete     | complete     | complete     |
 
+    # A helper pulls a task ahead of its free slots, so what is queued may be with the one that dies.
     Examples: d1 runs what is submitted to d2
       | fault | victim | entry | unclaimed | queued       | begun        | answered     | returned     |
       | kill  | d1     | d2    | complete  | any          | may-have-run | any          | complete     |
--- a/features/recovery.feature
+++ b/features/recovery.feature
@@ -70,3 +70,14 @@
     When the failure domain fd3 is joined again
     Then every daemon has its upstreams back and completes jobs
     And the submissions' answers agree with the start records
+
+  # Guards against callers of a paused daemon that wait for their whole limit.
+  Scenario: An answer that a stalled link could not take is sent when its peer is heard
+    Given an answer to a peer whose link has stalled
+    When that peer is heard, and later heard over a link that works
+    Then the peer gets the answer once
+
+  # Guards against refusals while a daemon has heard a new peer and not yet read its address.
+  Scenario: A question waits for the link to a peer that is heard already
+    When a question goes to a peer that is heard 3 polls before it has a link
+    Then its answer is the peer's
--- a/features/steps/dispatch.py
+++ b/features/steps/dispatch.py
@@ -118,6 +118,13 @@
     context.bench.take_all()
 
 
+@when('a dispatch peer pulls {pulled:d} of {tasks:d} tasks of team "{team}" and all slots take')
+def pull_tasks(context: Context, pulled: int, tasks: int, team: str) -> None:
+    context.bench.queue.put(context.bench.make_job(tasks, team=team))
+    assert len(context.bench.queue.take_batch(pulled)) == pulled
+    context.bench.take_all()
+
+
 @when('dispatch team "{team}" fills all slots with single requests for {seconds:d} s')
 def fill_slots(context: Context, team: str, seconds: int) -> None:
     bench = context.bench
--- a/features/steps/kill_points.py
+++ b/features/steps/kill_points.py
@@ -85,7 +85,7 @@
     wait_status(context, entry, "submissions_running", 9)
     claims = count_claims(context)
     hold(context, "both", *held[2:])
-    chosen = [make_request(2, deadline_ms=PAUSE_DEADLINE_MS) for _ in range(3)]
+    chosen = [make_request(2, deadline_ms=context.deadline_ms) for _ in range(3)]
     send(context, "unclaimed", chosen)
     wait_status(context, entry, "submissions_kept", 14)
     if return_first:
--- a/features/steps/moves.py
+++ b/features/steps/moves.py
@@ -3,17 +3,21 @@
 from dataclasses import dataclass, field
 from types import SimpleNamespace
 
+import anyio
 from behave import given, then, when
 from behave.runner import Context
-from result import Ok
+from result import Err, Ok, Result
 from support.checks import expect, make_request
 from support.deployment import Deployment
 from support.dispatch import Bench
 from support.processes import wait_until
 
-from fireflybridge_core import MayHaveRun, Outcome, Task
+from fireflybridge_core import MayHaveRun, Outcome, Pending, Submission, Task
+from fireflybridge_daemon._forwarding import Forwarding
 from fireflybridge_daemon._mover import Mover
-from fireflybridge_peers import Lost, Message, Pull
+from fireflybridge_daemon._replies import Replies
+from fireflybridge_peers import Answer as AnswerMessage
+from fireflybridge_peers import Lost, Message, PeerStalled, Pull, SendFailure, UnknownPeer
 from fireflybridge_telemetry import Metrics, Tracer
 
 FIRST = "first"
@@ -29,7 +33,10 @@
 
     def __post_init__(self) -> None:
         tracer = Tracer(0.0, None)
-        self.mover = Mover(self, self.deliver, Metrics(), tracer, lambda: self.bench.now)
+        self.replies = Replies(self.send)
+        self.mover = Mover(
+            self, self.replies, self.deliver, Metrics(), tracer, lambda: self.bench.now
+        )
 
     def deliver(self, task: Task, outcome: Outcome) -> bool:
         """Keep an outcome."""
@@ -129,3 +136,63 @@
     )
     for call in context.sent:
         expect(call.result(), state="complete")
+
+
+@given("an answer to a peer whose link has stalled")
+def hold_answer(context: Context) -> None:
+    context.link: list[Message] = []
+    context.failure = Err(PeerStalled("p"))
+
+    def send(peer: str, message: Message) -> Result[None, SendFailure]:
+        if context.failure is not None:
+            return context.failure
+        context.link.append(message)
+        return Ok(None)
+
+    context.replies = Replies(send)
+    context.answers = [AnswerMessage(number, Pending()) for number in (1, 2)]
+    context.replies.send("p", context.answers[0])
+    context.replies.give_back("p", (Pull("p", 1), context.answers[1]))
+
+
+@when("that peer is heard, and later heard over a link that works")
+def hear_peer(context: Context) -> None:
+    context.replies.send_held("p")
+    assert context.link == []
+    context.failure = None
+    context.replies.send_held("p")
+    context.replies.send_held("p")
+
+
+@then("the peer gets the answer once")
+def check_answer(context: Context) -> None:
+    assert context.link == context.answers, context.link
+
+
+@when("a question goes to a peer that is heard {polls:d} polls before it has a link")
+def ask_unlinked(context: Context, polls: int) -> None:
+    context.questions = []
+
+    def send(peer: str, message: Message) -> Result[None, SendFailure]:
+        context.questions.append(message)
+        return Err(UnknownPeer(peer)) if len(context.questions) <= polls else Ok(None)
+
+    async def ask() -> None:
+        directory = SimpleNamespace(find_peer=lambda executor: "p", send=send)
+        async with anyio.create_task_group() as group:
+            forwarding = Forwarding(directory, Replies(send), group, Tracer(0.0, None))
+            group.start_soon(answer_question, forwarding)
+            submission = Submission("key", "", "", (b"x",), deadline_s=10.0)
+            context.answer = await forwarding.forward("first", submission, b"digest")
+
+    async def answer_question(forwarding: Forwarding) -> None:
+        while len(context.questions) <= polls:
+            await anyio.sleep(0.01)
+        forwarding.receive(AnswerMessage(context.questions[-1].request_id, Pending()))
+
+    anyio.run(ask)
+
+
+@then("its answer is the peer's")
+def check_asked_answer(context: Context) -> None:
+    assert context.answer == Pending(), context.answer
--- a/packages/daemon/src/fireflybridge_daemon/_daemon.py
+++ b/packages/daemon/src/fireflybridge_daemon/_daemon.py
@@ -19,6 +19,7 @@
 from fireflybridge_daemon._mover import Mover
 from fireflybridge_daemon._peering import Handlers, Peering
 from fireflybridge_daemon._pools import PoolHooks, PoolRunner
+from fireflybridge_daemon._replies import Replies
 from fireflybridge_daemon._settings import Settings
 from fireflybridge_daemon._submissions import Submissions
 from fireflybridge_front import CallersApp, OperatorsApp, serve_app
@@ -74,8 +75,11 @@
         self.claims = Claims(
             log, self.incarnation, self._make_limits(), self.peering, group, self.metrics
         )
-        self.forwarding = Forwarding(self.peering, group, self.tracer)
-        self.mover = Mover(self.peering, self._deliver_local, self.metrics, self.tracer)
+        self.replies = Replies(self.peering.send)
+        self.forwarding = Forwarding(self.peering, self.replies, group, self.tracer)
+        self.mover = Mover(
+            self.peering, self.replies, self._deliver_local, self.metrics, self.tracer
+        )
         self.submissions = Submissions(
             Identity(self.incarnation, settings.retention_s),
             self.book,
@@ -135,7 +139,9 @@
 
     async def start(self, hosts: HttpHostList) -> None:
         """Start the tasks that follow the platform and the peers, and the operators' port."""
-        handlers = Handlers(self.claims, self.forwarding, self.mover, self.submissions)
+        handlers = Handlers(
+            self.claims, self.forwarding, self.mover, self.replies, self.submissions
+        )
         self.peer_address = await self._group.start(self.peering.run, handlers)
         self.peering.address = self.peer_address
         self._group.start_soon(self.configuration.follow)
--- a/packages/daemon/src/fireflybridge_daemon/_forwarding.py
+++ b/packages/daemon/src/fireflybridge_daemon/_forwarding.py
@@ -19,13 +19,17 @@
     Refused,
     Submission,
 )
+from fireflybridge_daemon._replies import Replies
 from fireflybridge_peers import Answer as AnswerMessage
-from fireflybridge_peers import Cancel, Fetch, Lost, Message, SendFailure
+from fireflybridge_peers import Cancel, Fetch, Lost, Message, SendFailure, UnknownPeer
 from fireflybridge_telemetry import SpanKind, Tracer, find_context
 
 # The executor answers at the submission's deadline; this much later it counts as unreachable.
 ANSWER_MARGIN_S = 2.0
 DEFAULT_WAIT_S = 60.0
+# A new peer may be heard before the host list, read each second, tells its address.
+LINK_WAIT_S = 2.0
+LINK_POLL_S = 0.05
 QUERY_WAIT_S = 2.0
 NO_DIGEST = b""
 
@@ -69,8 +73,11 @@
 class Forwarding:
     """Own the requests that wait for another daemon's answer."""
 
-    def __init__(self, directory: PeerDirectory, group: TaskGroup, tracer: Tracer) -> None:
+    def __init__(
+        self, directory: PeerDirectory, replies: Replies, group: TaskGroup, tracer: Tracer
+    ) -> None:
         self._directory = directory
+        self._replies = replies
         self._group = group
         self._tracer = tracer
         self._requests = itertools.count(1)
@@ -148,7 +155,7 @@
         """Answer a peer's fetch."""
         answer = await _find_answer(fetch, local)
         if answer is not None:
-            self._directory.send(peer, AnswerMessage(fetch.request_id, answer))
+            self._replies.send(peer, AnswerMessage(fetch.request_id, answer))
 
     async def _query_peer(
         self, peer: str, question: Submission, found: list[Answer], scope: anyio.CancelScope
@@ -169,7 +176,7 @@
         waiter = _Waiter(peer, executor, digest, submission)
         self._waiting[request_id] = waiter
         try:
-            if isinstance(self._send(request_id, waiter), Err):
+            if isinstance(await self._send_linked(request_id, waiter), Err):
                 return Unsent()
             with anyio.move_on_after(limit_s):
                 await waiter.answered.wait()
@@ -177,6 +184,17 @@
         finally:
             del self._waiting[request_id]
 
+    async def _send_linked(self, request_id: int, waiter: "_Waiter") -> Result[None, SendFailure]:
+        """Send a question once there is a link to the peer, which may be heard before."""
+        with anyio.move_on_after(LINK_WAIT_S):
+            while True:
+                match self._send(request_id, waiter):
+                    case Err(UnknownPeer()):
+                        await anyio.sleep(LINK_POLL_S)
+                    case sent:
+                        return sent
+        return Err(UnknownPeer(waiter.peer))
+
     def _send(self, request_id: int, waiter: "_Waiter") -> Result[None, SendFailure]:
         fetch = Fetch(request_id, waiter.digest, waiter.submission)
         return self._directory.send(waiter.peer, fetch)
--- a/packages/daemon/src/fireflybridge_daemon/_mover.py
+++ b/packages/daemon/src/fireflybridge_daemon/_mover.py
@@ -11,6 +11,7 @@
 
 from fireflybridge_core import Cause, Done, MayHaveRun, Outcome, Task, TaskId
 from fireflybridge_daemon._pools import PoolRunner
+from fireflybridge_daemon._replies import Replies
 from fireflybridge_peers import (
     Assign,
     Backlog,
@@ -113,12 +114,14 @@
     def __init__(
         self,
         exchange: Exchange,
+        replies: Replies,
         deliver: Callable[[Task, Outcome], bool],
         metrics: Metrics,
         tracer: Tracer,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._exchange = exchange
+        self._replies = replies
         self._deliver = deliver
         self._tracer = tracer
         self._clock = clock
@@ -129,7 +132,6 @@
         self._announced: dict[str, float] = {}
         self._assignments = count(1)
         self._cancelled: set[TaskId] = set()
-        self._held: dict[str, list[Results | Returned]] = {}
         self._emptied = anyio.Event()
         self._moved_out = metrics.moved.labels("out")
         self._moved_in = metrics.moved.labels("in")
@@ -167,7 +169,7 @@
         runner = self._exchange.find_runner(task.pool)
         final = outcome if runner is None else runner.judge(task, outcome)
         result = TaskResult(task.id, accepted.assignment, final)
-        self._send_back(accepted.peer, Results((result,)))
+        self._replies.send(accepted.peer, Results((result,)))
         return True
 
     def offer(self, pool: str) -> None:
@@ -257,7 +259,7 @@
             self._backlogs[place] = replace(offer, count=offer.count - len(message.tasks))
         runner = self._exchange.find_runner(message.pool)
         if runner is None or not runner.owned:
-            self._send_back(peer, Returned(tuple(task.id for task in message.tasks)))
+            self._replies.send(peer, Returned(tuple(task.id for task in message.tasks)))
             return
         now = self._clock()
         tasks = tuple(accept_task(task, now) for task in message.tasks)
@@ -300,29 +302,19 @@
             elif runner.was_sent(task):
                 self.settle(task, MayHaveRun(Cause.CONNECTION_BROKEN))
             elif (accepted := self._release(task)) is not None:
-                self._send_back(accepted.peer, Returned((task.id,)))
+                self._replies.send(accepted.peer, Returned((task.id,)))
 
     def give_back(self, peer: str, unsent: Iterable[Message]) -> None:
-        """Handle messages that were taken back, because a silent peer can't get them.
-
-        Tasks return to the queue. Results wait until the peer is heard again.
-        """
+        """Queue the tasks again whose message a silent peer can't get."""
         for message in unsent:
             match message:
                 case Assign(tasks=tasks):
                     self._take_back(task.id for task in tasks if task.id in self._assigned)
                 case Pull(pool=pool):
                     self._asked.pop(PeerPool(peer, pool), None)
-                case Results() | Returned():
-                    self._held.setdefault(peer, []).append(message)
                 case _:
                     pass
 
-    def send_held(self, peer: str) -> None:
-        """Send what was held back for a peer that is heard again."""
-        for message in self._held.pop(peer, ()):
-            self._send_back(peer, message)
-
     def drop_peer(self, lost: Lost) -> None:
         """Settle what the ended session with a peer leaves behind.
 
@@ -342,7 +334,6 @@
             if task_id not in unsent:
                 assigned = self._assigned.pop(task_id)
                 self._finish(assigned, MayHaveRun(Cause.PEER_LOST, lost.peer))
-        self._held.pop(lost.peer, None)
         self._backlogs = {p: offer for p, offer in self._backlogs.items() if p.peer != lost.peer}
         self._asked = {p: asked for p, asked in self._asked.items() if p.peer != lost.peer}
 
@@ -354,10 +345,6 @@
             self._emptied.set()
         return accepted
 
-    def _send_back(self, peer: str, message: Results | Returned) -> None:
-        if isinstance(self._exchange.send(peer, message), Err):
-            self._held.setdefault(peer, []).append(message)
-
     def _finish(self, assigned: Assigned, outcome: Outcome) -> None:
         task = assigned.task
         self._tracer.end(assigned.span, peer=assigned.peer, outcome=type(outcome).__name__)
--- a/packages/daemon/src/fireflybridge_daemon/_peering.py
+++ b/packages/daemon/src/fireflybridge_daemon/_peering.py
@@ -15,6 +15,8 @@
 from fireflybridge_daemon._limits import SharedLimits
 from fireflybridge_daemon._mover import Helper, Mover
 from fireflybridge_daemon._pools import PoolRunner
+from fireflybridge_daemon._replies import Replies
+from fireflybridge_daemon._tables_exchange import TablesExchange
 from fireflybridge_membership import (
     Applied,
     DaemonState,
@@ -53,8 +55,6 @@
 from fireflybridge_telemetry import Event, Metrics, log_event
 
 TICK_S = 0.25
-# A read of a log behind a silent link fails only after 25 s, and tables are due everywhere in 5 s.
-TABLES_WAIT_S = 1.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,6 +64,7 @@
     claims: Claims
     forwarding: Forwarding
     mover: Mover
+    replies: Replies
     submissions: LocalAnswers
 
 
@@ -87,11 +88,11 @@
         self._metrics = metrics
         self._clock = clock
         self._membership = Membership(settings.name, failure_domain, clock())
+        self._tables = TablesExchange(configuration, self.send, clock)
         self._limits = SharedLimits(settings.name, configuration, clock)
         self._namesake = ""
         self.address = ""
         self._beats: dict[str, Heartbeat] = {}
-        self._differs_since: dict[str, float] = {}
         self._live: frozenset[str] = frozenset()
         self._connected: frozenset[str] = frozenset()
         self._listed: tuple[Host, ...] | None = None
@@ -148,6 +149,9 @@
             log_event(Event.PEER_SILENT, peer=peer)
             if self._handlers is not None:
                 self._handlers.forwarding.drop_silent(peer)
+        if self._live - live:
+            # A link to a peer that left the list is kept while it is heard: look at it again.
+            self._listed = None
         self._live = live
 
     def update_ownership(self) -> None:
@@ -362,37 +366,23 @@
         )
         self._membership.hear(report, self._clock())
         self._limits.hear(peer, beat.tables_revision, beat.quotas)
-        parts.mover.send_held(peer)
+        parts.replies.send_held(peer)
         for load in beat.pools:
             parts.mover.note_backlog(peer, load.pool, load.queued)
-        self._exchange_tables(peer, beat)
-
-    def _exchange_tables(self, peer: str, beat: Heartbeat) -> None:
-        """Ask a peer for tables that the log has not brought, or offer them to one without any."""
-        configuration, now = self._configuration, self._clock()
-        if beat.tables_revision == configuration.state.revision_id:
-            self._differs_since.pop(peer, None)
-            return
-        waited_s = now - self._differs_since.setdefault(peer, now)
-        if beat.tables_revision:
-            if not configuration.log_reachable or waited_s >= TABLES_WAIT_S:
-                self.send(peer, configuration.describe())
-        elif not beat.log_reachable:
-            # Without the host list the peer has no link on which it could ask.
-            offer = configuration.answer_peer(TablesHave(0, ""))
-            if offer is not None:
-                self.send(peer, offer)
+        self._tables.hear(peer, beat)
 
     def _drop_peer(self, lost: Lost) -> None:
         self._metrics.peers_lost.inc()
         log_event(Event.PEER_LOST, peer=lost.peer, incarnation=lost.incarnation)
         if self._handlers is not None:
+            self._handlers.replies.drop_peer(lost.peer)
             self._handlers.mover.drop_peer(lost)
             self._handlers.forwarding.drop_peer(lost)
 
     def _note_stalled(self, stalled: Stalled) -> None:
         log_event(Event.PEER_STALLED, peer=stalled.peer)
         if self._handlers is not None:
+            self._handlers.replies.give_back(stalled.peer, stalled.unsent)
             self._handlers.mover.give_back(stalled.peer, stalled.unsent)
 
     def _report_fault(self, error: StepError) -> None:
--- a/packages/dispatch/src/fireflybridge_dispatch/_limits.py
+++ b/packages/dispatch/src/fireflybridge_dispatch/_limits.py
@@ -1,5 +1,6 @@
 """Teams of a pool and their limits in this daemon."""
 
+import sys
 from collections.abc import Iterable, Iterator, Mapping
 
 from fireflybridge_dispatch._backlog import Team
@@ -10,6 +11,8 @@
 
 MAX_TEAMS = 256  # teams kept without queued or running tasks
 NO_LIMIT = 1.0  # of the pool's slots
+# Tasks at a peer that died or is silent hold no slot, but count as in use until they are settled.
+UNLIMITED = sys.maxsize
 # Each finished task may ask for the blocked ones, and counting those of 100 teams takes 0.1 ms.
 BLOCKED_MEMORY_S = 0.02
 
@@ -84,7 +87,7 @@
         """Set the weight and the limits of a team."""
         quota = self._quotas.get(team.name, Quota(team.name))
         team.weight, team.limit = quota.weight, limit_slots(quota, max(self._slots, 1))
-        team.allowance = team.expected = team.limit
+        team.allowance, team.expected = UNLIMITED, team.limit
         if team.name in self._limited:
             fair = find_fair_part(team.limit, self._daemons)
             allowance = self._allowances.get(team.name, Allowance(fair, team.limit))
