Let the job commands report a cancelled job as failed

Cause: a cancelled job now has a problem type of its own, and submit and fetch ended with the exit code of what ran: 'nothing was run' or 'unknown'.

--- a/features/publish.feature
+++ b/features/publish.feature
@@ -126,6 +126,12 @@
     Then the publish output says "nothing was submitted"
     And the publish workers started 3 tasks, each once
 
+  Scenario: A cancelled job counts as failed
+    Given a publish daemon with 2 workers behind a proxy
+    When 40 slow tasks are submitted and cancelled by job commands under the key "seat-9"
+    And the job command "fetch seat-9 --wait-ms 30000" exits 1
+    Then the publish output says "cancelled"
+
   Scenario: A job that no daemon answers may have run, and the command says so
     Given a publish daemon with 2 workers behind a proxy
     When the publish proxy loses every answer
--- a/features/steps/publish_jobs.py
+++ b/features/steps/publish_jobs.py
@@ -72,6 +72,13 @@
     context.output = run_job_command(context, code, *line.split())
 
 
+@when('{count:d} slow tasks are submitted and cancelled by job commands under the key "{key}"')
+def cancel_tasks(context: Context, count: int, key: str) -> None:
+    bodies = ["sleep=1000"] * count
+    run_job_command(context, 0, "submit", "check", *bodies, "--async", "--key", key)
+    run_job_command(context, 0, "cancel", key)
+
+
 @then("the publish workers started {count:d} tasks, each once")
 def check_starts(context: Context, count: int) -> None:
     starts = send_control(context.workers.ready["control"], "GET", "/control/starts")
--- a/packages/cli/src/fireflybridge_cli/_job_commands.py
+++ b/packages/cli/src/fireflybridge_cli/_job_commands.py
@@ -16,7 +16,7 @@
 
 RETRY_PAUSE_S = 0.5
 # How the answer of a job reads that a cancellation has ended.
-CANCELLED_PROBLEMS = ("cancelled", "job-failed")
+ENDED_PROBLEMS = frozenset({"cancelled", "job-failed"})
 
 
 async def submit(command: Submit) -> Report:
@@ -51,7 +51,7 @@
     """Cancel a job."""
     async with Client(command.daemon, command.timeout_s) as client:
         report = _report_exchange(await client.cancel(command.key), command.key)
-    ended = report.details.get("problem") in CANCELLED_PROBLEMS
+    ended = report.details.get("problem") in ENDED_PROBLEMS
     return replace(report, code=ExitCode.OK) if ended else report
 
 
@@ -130,7 +130,9 @@
 
 def _choose_code(ran: Any, kind: str) -> ExitCode:
     match (ran, kind):
-        case (_, "job-failed") | ("done", _):
+        case ("done", _):
+            return ExitCode.FAILED
+        case _ if kind in ENDED_PROBLEMS:
             return ExitCode.FAILED
         case ("not-run", _):
             return ExitCode.NOT_DONE
