--- a/features/steps/moves.py
+++ b/features/steps/moves.py
@@ -24,7 +24,7 @@
 
 
 @dataclass
-class Desk:
+class MoverFixture:
     """Hold a mover with the queue, the messages and the outcomes that it works on."""
 
     bench: Bench = field(default_factory=lambda: Bench(1, 4))
@@ -57,33 +57,33 @@
 
 @given("a mover with {count:d} queued tasks")
 def start_mover(context: Context, count: int) -> None:
-    context.desk = Desk()
+    context.fixture = MoverFixture()
     if count:
-        context.desk.bench.queue.put(context.desk.bench.make_job(count))
+        context.fixture.bench.queue.put(context.fixture.bench.make_job(count))
 
 
 @when("the restarted peer pulls {count:d} tasks from the mover")
 def pull_tasks(context: Context, count: int) -> None:
-    context.desk.mover.answer_pull("p", Pull("p", count))
+    context.fixture.mover.answer_pull("p", Pull("p", count))
 
 
 @when("the mover's session {session} ends with that message {state}")
 def end_session(context: Context, session: str, state: str) -> None:
-    messages = tuple(context.desk.sent)
+    messages = tuple(context.fixture.sent)
     assert len(messages) == 1
     unsent = state == "unsent"
     incarnation = FIRST if session == "with the first incarnation" else ""
     lost = Lost("p", incarnation, () if unsent else messages, messages if unsent else ())
-    context.desk.mover.drop_peer(lost)
+    context.fixture.mover.drop_peer(lost)
 
 
 @then("the mover has {queued:d} tasks queued and {unknown:d} that may have run")
 def check_settled(context: Context, queued: int, unknown: int) -> None:
-    desk: Desk = context.desk
-    assert desk.mover.assigned == 0, "tasks that nobody settles before their deadline"
-    assert desk.bench.queue.queued == queued
-    assert len(desk.outcomes) == unknown
-    assert all(isinstance(outcome, MayHaveRun) for outcome in desk.outcomes), desk.outcomes
+    fixture: MoverFixture = context.fixture
+    assert fixture.mover.assigned == 0, "tasks that nobody settles before their deadline"
+    assert fixture.bench.queue.queued == queued
+    assert len(fixture.outcomes) == unknown
+    assert all(isinstance(outcome, MayHaveRun) for outcome in fixture.outcomes), fixture.outcomes
 
 
 @when(
@@ -91,13 +91,13 @@
 )
 def offer_tasks(context: Context, count: int, step_s: float, total_s: float) -> None:
     for _ in range(round(total_s / step_s)):
-        context.desk.mover.note_backlog("p", "p", count)
-        context.desk.bench.now += step_s
+        context.fixture.mover.note_backlog("p", "p", count)
+        context.fixture.bench.now += step_s
 
 
 @then("the mover has asked that peer {times:d} times")
 def check_asked(context: Context, times: int) -> None:
-    assert context.desk.sent == [Pull("p", 4)] * times, context.desk.sent
+    assert context.fixture.sent == [Pull("p", 4)] * times, context.fixture.sent
 
 
 @when("the pool of a job queued at d2 is removed while d2 can hand nothing to d1")
@@ -109,7 +109,9 @@
     context.sent = [context.ledger.send("d2", job) for job in jobs]
     context.ledger.wait_started(jobs[0])
     routes, pools = deployment.plan.routes, deployment.make_pools()
-    deployment.publish(routes.replace('"desk"', '"spare"'), pools.replace('"desk"', '"spare"'))
+    deployment.publish(
+        routes.replace('"desk"', '"spare"'), pools.replace('"desk"', '"spare"')
+    )
     for name in deployment.daemons:
         wait_until(
             lambda n=name: deployment.read_status(n)["tables_revision"] == deployment.revision,
--- a/packages/daemon/src/fireflybridge_daemon/_pools.py
+++ b/packages/daemon/src/fireflybridge_daemon/_pools.py
@@ -215,10 +215,10 @@
                 if last is not None:
                     self._deliver(task, last)
             case _ if self._may_retry(task, outcome):
-                guest = self.queue.is_guest(task)
+                foreign = self.queue.is_foreign(task)
                 self.queue.finish(task, outcome, 0.0)
                 self._retries.inc()
-                self._group.start_soon(self._retry_later, task, guest)
+                self._group.start_soon(self._retry_later, task, foreign)
             case Done(run_s=run_s):
                 self.queue.finish(task, outcome, run_s)
                 self._deliver(task, outcome)
@@ -255,12 +255,12 @@
         """Tell whether a task waits to be sent again."""
         return task.id in self._resent
 
-    async def _retry_later(self, task: Task, guest: bool) -> None:
+    async def _retry_later(self, task: Task, foreign: bool) -> None:
         self._resent.add(task.id)
         await anyio.sleep(self._jitter.uniform(MIN_RETRY_DELAY_S, MAX_RETRY_DELAY_S))
         self._tracer.begin_waits((task,))
         # A task of a peer must not be moved on, and its queue no longer knows that it is one.
-        self.queue.accept((task,), guest)
+        self.queue.accept((task,), foreign)
 
     def _deliver(self, task: Task, outcome: Outcome) -> None:
         self._outcomes[type(outcome)].inc()
--- a/packages/dispatch/src/fireflybridge_dispatch/_queue.py
+++ b/packages/dispatch/src/fireflybridge_dispatch/_queue.py
@@ -46,7 +46,7 @@
     team: Team
     work_class: WorkClass
     upstream: str
-    guest: bool = False
+    foreign: bool = False
 
 
 class PoolQueue:
@@ -107,9 +107,9 @@
         """Return what limited teams hold and queue through this daemon."""
         return tuple(self._teams.list_demands())
 
-    def is_guest(self, task: Task) -> bool:
+    def is_foreign(self, task: Task) -> bool:
         """Tell whether a running task is another daemon's."""
-        return task.id in self._running and self._running[task.id].guest
+        return task.id in self._running and self._running[task.id].foreign
 
     def admit(self, tasks: Sequence[Task]) -> Admission:
         """Decide whether the tasks of one submission can be answered within their deadline."""
@@ -162,12 +162,12 @@
         self._jobs.add(job)
         self._hand_out()
 
-    def accept(self, tasks: Sequence[Task], guests: bool = True) -> None:
+    def accept(self, tasks: Sequence[Task], foreign: bool = True) -> None:
         """Queue tasks that are never moved on, by default as those of another daemon."""
         now = self._clock()
         for task in tasks:
             _, work_class = self._kinds.estimate(task)
-            self._returned.pin(task.id, guests)
+            self._returned.pin(task.id, foreign)
             self._returned.add(task, self._teams.find(task.team), work_class, frozenset(), now)
         self._hand_out()
 
@@ -306,7 +306,7 @@
         now = self._clock()
         if self._returned and (again := self._returned.take(upstream, now)) is not None:
             self._start(
-                again.task, _Start(again.team, again.work_class, upstream, again.guest), now
+                again.task, _Start(again.team, again.work_class, upstream, again.foreign), now
             )
             return again.task
         job = self._find_job(now)
@@ -336,7 +336,7 @@
     def _start(self, task: Task, start: _Start, now: float) -> None:
         """Count a task as running."""
         self._running[task.id] = start
-        start.team.own += not start.guest
+        start.team.own += not start.foreign
         long_queued = self._backlogs[WorkClass.LONG].queued
         self._slots.start(start.work_class, start.upstream == REMOTE, long_queued)
         self._change_use(start.team, start.work_class, 1, now)
@@ -345,7 +345,7 @@
         """Count a task as no longer running."""
         start = self._running.pop(task_id, None)
         if start is not None:
-            start.team.own -= not start.guest
+            start.team.own -= not start.foreign
             self._slots.end(start.work_class, start.upstream == REMOTE)
             self._change_use(start.team, start.work_class, -1, self._clock())
         return start
--- a/packages/dispatch/src/fireflybridge_dispatch/_returned.py
+++ b/packages/dispatch/src/fireflybridge_dispatch/_returned.py
@@ -13,7 +13,7 @@
 class Returned:
     """Hold a task that was put back, and the upstreams it avoids until ``avoid_until``.
 
-    A ``guest`` is the task of another daemon, where it counts against its team's limit.
+    A ``foreign`` task entered at another daemon, where it counts against its team's limit.
     """
 
     task: Task
@@ -21,12 +21,12 @@
     work_class: WorkClass
     tried: frozenset[str]
     avoid_until: float
-    guest: bool = False
+    foreign: bool = False
 
 
 def may_take(returned: Returned, upstream: str, now: float) -> bool:
     """Say whether a slot of the upstream may take a returned task now."""
-    if returned.task.deadline <= now or (returned.team.blocked and not returned.guest):
+    if returned.task.deadline <= now or (returned.team.blocked and not returned.foreign):
         return False
     return upstream not in returned.tried or now >= returned.avoid_until
 
@@ -38,18 +38,18 @@
         self._tasks: dict[TaskId, Returned] = {}
         self._tried: dict[TaskId, frozenset[str]] = {}
         self._pinned: set[TaskId] = set()
-        self._guests: set[TaskId] = set()
+        self._foreign: set[TaskId] = set()
 
     @property
     def pinned(self) -> int:
         """Return how many of the waiting tasks must stay in this daemon."""
         return sum(task_id in self._pinned for task_id in self._tasks) if self._pinned else 0
 
-    def pin(self, task_id: TaskId, guest: bool) -> None:
+    def pin(self, task_id: TaskId, foreign: bool) -> None:
         """Keep a task, be it another daemon's, from being moved on until it has ended."""
         self._pinned.add(task_id)
-        if guest:
-            self._guests.add(task_id)
+        if foreign:
+            self._foreign.add(task_id)
 
     def __len__(self) -> int:
         return len(self._tasks)
@@ -61,8 +61,8 @@
         tried = self._tried.get(task.id, frozenset()) | avoid
         if tried:
             self._tried[task.id] = tried
-        guest = task.id in self._guests
-        self._tasks[task.id] = Returned(task, team, work_class, tried, now + AVOID_S, guest)
+        foreign = task.id in self._foreign
+        self._tasks[task.id] = Returned(task, team, work_class, tried, now + AVOID_S, foreign)
 
     def take(self, upstream: str, now: float) -> Returned | None:
         """Remove and return the first task that a slot of the upstream may take.
@@ -80,7 +80,7 @@
         """Drop what is known of a task that ended."""
         self._tried.pop(task_id, None)
         self._pinned.discard(task_id)
-        self._guests.discard(task_id)
+        self._foreign.discard(task_id)
 
     def remove_key(self, key: str) -> tuple[Returned, ...]:
         """Remove and return the tasks of a submission."""
