--- a/features/steps/moves.py
+++ b/features/steps/moves.py
@@ -109,9 +109,7 @@
     context.sent = [context.ledger.send("d2", job) for job in jobs]
     context.ledger.wait_started(jobs[0])
     routes, pools = deployment.plan.routes, deployment.make_pools()
-    deployment.publish(
-        routes.replace('"desk"', '"spare"'), pools.replace('"desk"', '"spare"')
-    )
+    deployment.publish(routes.replace('"desk"', '"spare"'), pools.replace('"desk"', '"spare"'))
     for name in deployment.daemons:
         wait_until(
             lambda n=name: deployment.read_status(n)["tables_revision"] == deployment.revision,
