Name the socket family and the link fault of the explorer once

Cause: the start-up check and the front each worked out the family of an address, and the explorer built the pair of steps that sets and removes a fault on links twice; a comment in kill_points told of a wait that a change of the host list now ends. Change: Address.family; one method for faults on links, with the same draws in the same order; the comment.

--- a/features/explore.py
+++ b/features/explore.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Any
 
 sys.path.insert(0, str(Path(__file__).parent))
 
@@ -168,8 +169,7 @@
 
     def _draw_link_fault(self, at: float, until: float, link: str) -> list[Step]:
         """Draw a fault of one direction between two daemons, or of a worker's link."""
-        proxy, draw = self.deployment.proxy, self.generator
-        assert proxy is not None
+        draw = self.generator
         worker = f"worker-{draw.choice(sorted(self.deployment.worker_addresses))}"
         target, direction = draw.choice((link, worker)), draw.choice(("forward", "backward"))
         fault = draw.choice(
@@ -181,22 +181,21 @@
                 {"kind": "lose_answer", "count": 3},
             )
         )
-        return [
-            self._make_fault(
-                at,
-                f"link-{fault['kind']} {target}",
-                lambda: proxy.set_faults(target, faults=[fault]),
-            ),
-            Step(until, f"heal {target}", lambda: proxy.clear_faults(target)),
-        ]
+        return self._fault_links(at, until, f"link-{fault['kind']}", fault, target)
 
     def _make_cut(self, at: float, until: float, kind: str, *links: str) -> list[Step]:
+        fault = {"kind": self.generator.choice(("drop", "hold"))}
+        return self._fault_links(at, until, kind, fault, *links)
+
+    def _fault_links(
+        self, at: float, until: float, kind: str, fault: dict[str, Any], *links: str
+    ) -> list[Step]:
+        """Return the steps that set a fault on links and remove it."""
         proxy = self.deployment.proxy
         assert proxy is not None
-        faults = [{"kind": self.generator.choice(("drop", "hold"))}]
         return [
             self._make_fault(
-                at, f"{kind} {links[0]}", lambda: proxy.set_faults(*links, faults=faults)
+                at, f"{kind} {links[0]}", lambda: proxy.set_faults(*links, faults=[fault])
             ),
             Step(until, f"heal {links[0]}", lambda: proxy.clear_faults(*links)),
         ]
--- a/features/steps/kill_points.py
+++ b/features/steps/kill_points.py
@@ -16,7 +16,7 @@
 SLOTS = 8
 LONG_MS = 3000
 PAUSE_DEADLINE_MS = 60_000
-# Nobody can tell a dead helper from a silent one, so its entry daemon's callers wait that long.
+# While it is listed, nobody can tell a dead helper from a silent one: its tasks may end that late.
 KILL_DEADLINE_MS = 6000
 BRIEF_MS = 2500
 
--- a/packages/core/src/fireflybridge_core/_addresses.py
+++ b/packages/core/src/fireflybridge_core/_addresses.py
@@ -1,6 +1,7 @@
 """Addresses as settings and tables write them: ``ip:port``, or ``[ip]:port`` for IPv6."""
 
 import ipaddress
+import socket
 from dataclasses import dataclass
 
 MAX_PORT = 65535
@@ -16,6 +17,11 @@
     def __str__(self) -> str:
         return f"[{self.ip}]:{self.port}" if ":" in self.ip else f"{self.ip}:{self.port}"
 
+    @property
+    def family(self) -> socket.AddressFamily:
+        """Return the address family of a socket that listens here."""
+        return socket.AF_INET6 if ":" in self.ip else socket.AF_INET
+
     @property
     def is_loopback(self) -> bool:
         """Tell whether only this host reaches the address."""
--- a/packages/daemon/src/fireflybridge_daemon/_checks.py
+++ b/packages/daemon/src/fireflybridge_daemon/_checks.py
@@ -135,9 +135,8 @@
     if _check_address(address):
         return ""
     wanted = parse_address(address)
-    family = socket.AF_INET6 if ":" in wanted.ip else socket.AF_INET
     try:
-        socket.create_server((wanted.ip, wanted.port), family=family).close()
+        socket.create_server((wanted.ip, wanted.port), family=wanted.family).close()
     except OSError as error:
         return f"free the address, or give one of this host ({error.strerror or error})"
     return ""
--- a/packages/front/src/fireflybridge_front/_server.py
+++ b/packages/front/src/fireflybridge_front/_server.py
@@ -36,8 +36,7 @@
     The bound ``ip:port`` is reported through ``task_status``.
     """
     wanted = parse_address(address)
-    family = socket.AF_INET6 if ":" in wanted.ip else socket.AF_INET
-    listener = socket.create_server((wanted.ip, wanted.port), family=family, backlog=1024)
+    listener = socket.create_server((wanted.ip, wanted.port), family=wanted.family, backlog=1024)
     # Accepted connections inherit the option.
     listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNREAD_ANSWER_MS)
     config = Config()
