Serve jobs on the users' platform through an adapter

A leader of the failure domains, named by a term in the platform's log, places the tasks of all hosts on the upstreams; the other hosts forward their callers' jobs to it. The term's offset is the fencing token of every order. Weighed: an owner for each upstream on every host (needs a message and a late binding between hosts for most tasks of a wide job), a leader for each failure domain (18 slots each, so a wide job waits for room that stands free elsewhere), and one leader with a failure domain's own claim when it is cut off, which is built.

The cause: a resubmitted job was placed before the runs of the last leader were matched with it. Runs that may be alive are counted for each task now, and a task is not started beside one; not measured yet.

--- a/Makefile
+++ b/Makefile
@@ -5,8 +5,8 @@
 SEED ?= 1
 RUNS ?= 10
 BIN = $(VENV)/bin
-MEMBERS = $(wildcard packages/*) standins
-CODE = packages standins features demo bench
+MEMBERS = $(wildcard packages/*) platform standins
+CODE = packages platform standins features demo bench
 
 .PHONY: setup lint format test explore capacity bench demo clean
 
--- /dev/null
+++ b/packages/entry/src/fireflybridge_entry/__init__.py
@@ -0,0 +1,30 @@
+"""Entry of callers' jobs: routes, submission to the leader, and the link to it."""
+
+from fireflybridge_entry._codec import CodecError, Heartbeat
+from fireflybridge_entry._configuration import (
+    Configuration,
+    ConfigurationSource,
+    Limits,
+    Route,
+    RouteTable,
+)
+from fireflybridge_entry._link import LeaderLink, LinkLoss
+from fireflybridge_entry._peer_service import JobScheduler, PeerService
+from fireflybridge_entry._submission import JobSubmitter, LocalLeader, RemoteLeader
+
+__all__ = [
+    "CodecError",
+    "Configuration",
+    "ConfigurationSource",
+    "Heartbeat",
+    "JobScheduler",
+    "JobSubmitter",
+    "LeaderLink",
+    "Limits",
+    "LinkLoss",
+    "LocalLeader",
+    "PeerService",
+    "RemoteLeader",
+    "Route",
+    "RouteTable",
+]
--- /dev/null
+++ b/packages/entry/src/fireflybridge_entry/_codec.py
@@ -0,0 +1,122 @@
+"""Encoding of the messages between hosts: a submission, its answer and a heartbeat."""
+
+from dataclasses import dataclass
+from typing import TypeVar
+
+import msgspec
+
+from fireflybridge_http import Request, Response
+from fireflybridge_jobs import (
+    Answer,
+    Failed,
+    Job,
+    Moved,
+    NotRun,
+    RefusalReason,
+    Succeeded,
+    TimedOut,
+)
+from fireflybridge_leadership import Holder
+
+SUBMIT_PATH = "/peer/jobs"
+HEARTBEAT_PATH = "/peer/heartbeat"
+
+
+class CodecError(Exception):
+    """Signal a message of another host that can't be read."""
+
+
+@dataclass(frozen=True, slots=True)
+class Submission:
+    """Hold a job on its way to the leader; ``age_ms`` counts from its receipt by the sender."""
+
+    sender: str
+    job: Job
+    age_ms: float
+    resubmitted: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """Hold what hosts tell each other on each heartbeat: who they are and how strong."""
+
+    holder: Holder
+    strength: float
+
+
+@dataclass(frozen=True, slots=True)
+class _AnswerMessage:
+    kind: str
+    reason: str = ""
+    retry_after_s: int = 0
+
+
+T = TypeVar("T")
+
+_submissions = msgspec.json.Decoder(Submission)
+_heartbeats = msgspec.json.Decoder(Heartbeat)
+_answers = msgspec.json.Decoder(_AnswerMessage)
+_encoder = msgspec.json.Encoder()
+
+
+def encode_submission(submission: Submission) -> Request:
+    """Return the request that submits a job to the leader."""
+    return Request("POST", SUBMIT_PATH, body=_encoder.encode(submission))
+
+
+def decode_submission(body: bytes) -> Submission:
+    """Return the submission in a request's body; raise ``CodecError`` if it can't be read."""
+    return _decode(_submissions, body)
+
+
+def encode_heartbeat(heartbeat: Heartbeat) -> bytes:
+    """Return the body of a heartbeat or of its response."""
+    return _encoder.encode(heartbeat)
+
+
+def decode_heartbeat(body: bytes) -> Heartbeat:
+    """Return a heartbeat; raise ``CodecError`` if it can't be read."""
+    return _decode(_heartbeats, body)
+
+
+def encode_answer(answer: Answer) -> Response:
+    """Return the response that carries an answer."""
+    match answer:
+        case Succeeded():
+            message = _AnswerMessage("succeeded")
+        case Failed(reason=reason):
+            message = _AnswerMessage("failed", reason)
+        case NotRun(reason=refusal, retry_after_s=retry_after_s):
+            message = _AnswerMessage("not-run", refusal, retry_after_s)
+        case TimedOut(reason=reason):
+            message = _AnswerMessage("timed-out", reason)
+        case Moved():
+            message = _AnswerMessage("moved")
+    return Response(200, _encoder.encode(message))
+
+
+def decode_answer(response: Response) -> Answer:
+    """Return the answer in a response; raise ``CodecError`` if it can't be read."""
+    if not response.succeeded:
+        raise CodecError(f"status {response.status}")
+    message = _decode(_answers, response.body)
+    match message:
+        case _AnswerMessage(kind="succeeded"):
+            return Succeeded()
+        case _AnswerMessage(kind="failed", reason=reason):
+            return Failed(reason)
+        case _AnswerMessage(kind="not-run", reason=reason, retry_after_s=retry_after_s):
+            return NotRun(RefusalReason(reason), retry_after_s)
+        case _AnswerMessage(kind="timed-out", reason=reason):
+            return TimedOut(reason)
+        case _AnswerMessage(kind="moved"):
+            return Moved()
+        case _:
+            raise CodecError(f"answer of unknown kind {message.kind!r}")
+
+
+def _decode(decoder: "msgspec.json.Decoder[T]", body: bytes) -> T:
+    try:
+        return decoder.decode(body)
+    except msgspec.DecodeError as error:
+        raise CodecError(str(error)) from error
--- /dev/null
+++ b/packages/entry/src/fireflybridge_entry/_configuration.py
@@ -0,0 +1,103 @@
+"""Configuration in force: routes and limits, in versions that never go back."""
+
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+import anyio
+
+from fireflybridge_jobs import QueuePolicy
+from fireflybridge_leadership import Notifier, StoreError
+
+RETRY_S = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Select jobs by host name and path prefix, and say how their queue is served."""
+
+    host: str
+    path_prefix: str
+    policy: QueuePolicy
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """Bound callers' requests; times in seconds."""
+
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 262144
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+@dataclass(frozen=True, slots=True)
+class Configuration:
+    """Hold one version of the routes and limits."""
+
+    version: int
+    routes: tuple[Route, ...]
+    limits: Limits
+
+
+class ConfigurationSource(Protocol):
+    """Read the configuration; raises ``StoreError`` when the store can't be reached."""
+
+    async def read_newest(self) -> Configuration | None:
+        """Return the newest configuration, or None before the first."""
+        ...
+
+    async def wait_for_change(self) -> Configuration | None:
+        """Return a configuration that came since the last read, or None after a while."""
+        ...
+
+
+class RouteTable:
+    """Keep the newest configuration and find routes in it."""
+
+    def __init__(self) -> None:
+        self.changed = Notifier()
+        self.configuration: Configuration | None = None
+        self._by_host: dict[str, tuple[Route, ...]] = {}
+
+    def put(self, configuration: Configuration) -> bool:
+        """Put a configuration in force unless it is older than the current one."""
+        if self.configuration is not None and configuration.version <= self.configuration.version:
+            return False
+        self.configuration = configuration
+        hosts = {route.host for route in configuration.routes}
+        self._by_host = {host: _select_routes(configuration, host) for host in hosts}
+        self.changed.notify()
+        return True
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix that a path begins with."""
+        routes = self._by_host.get(host.lower(), ())
+        return next((route for route in routes if path.startswith(route.path_prefix)), None)
+
+    async def follow(
+        self,
+        source: ConfigurationSource,
+        on_change: Callable[[Configuration, float], None],
+        on_error: Callable[[StoreError], None],
+    ) -> None:
+        """Put each newer configuration in force until cancelled."""
+        read: Callable[[], Awaitable[Configuration | None]] = source.read_newest
+        while True:
+            asked_s = time.monotonic()
+            try:
+                found = await read()
+                read = source.wait_for_change
+            except StoreError as error:
+                on_error(error)
+                read = source.read_newest
+                await anyio.sleep(RETRY_S)
+                continue
+            if found is not None and self.put(found):
+                on_change(found, time.monotonic() - asked_s)
+
+
+def _select_routes(configuration: Configuration, host: str) -> tuple[Route, ...]:
+    routes = (route for route in configuration.routes if route.host == host)
+    return tuple(sorted(routes, key=lambda route: len(route.path_prefix), reverse=True))
--- /dev/null
+++ b/packages/entry/src/fireflybridge_entry/_peer_service.py
@@ -0,0 +1,111 @@
+"""What a host answers to the others: heartbeats, and jobs while it leads."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+import anyio
+
+from fireflybridge_entry._codec import (
+    HEARTBEAT_PATH,
+    SUBMIT_PATH,
+    CodecError,
+    Heartbeat,
+    decode_heartbeat,
+    decode_submission,
+    encode_answer,
+    encode_heartbeat,
+)
+from fireflybridge_entry._link import SILENCE_S
+from fireflybridge_http import Request, Response
+from fireflybridge_jobs import Answer, Job, Moved, TimedOut
+from fireflybridge_leadership import Holder
+
+PEER_CHECK_S = 0.1
+
+
+class JobScheduler(Protocol):
+    """Take jobs of other hosts."""
+
+    async def submit(self, job: Job, age_s: float, *, resubmitted: bool) -> Answer:
+        """Return the answer to a job."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class _Heard:
+    """Hold a host's newest heartbeat and when it arrived."""
+
+    heartbeat: Heartbeat
+    at_s: float
+
+
+class PeerService:
+    """Handle the requests of other hosts.
+
+    The jobs of a host whose heartbeats have stopped are given up: it can't receive their answers,
+    and their callers may send them to another host.
+    """
+
+    def __init__(
+        self, heartbeat: Heartbeat, scheduler: JobScheduler, leads: Callable[[], bool]
+    ) -> None:
+        """Take jobs while ``leads`` returns true."""
+        self._body = encode_heartbeat(heartbeat)
+        self._scheduler = scheduler
+        self._leads = leads
+        self._heard: dict[str, _Heard] = {}
+        self._scopes: dict[str, set[anyio.CancelScope]] = {}
+
+    async def handle(self, request: Request) -> Response:
+        """Answer one request."""
+        match (request.method, request.path):
+            case ("POST", path) if path == HEARTBEAT_PATH:
+                return self._take_heartbeat(request)
+            case ("POST", path) if path == SUBMIT_PATH:
+                return await self._submit(request)
+            case _:
+                return Response(404)
+
+    async def watch_senders(self) -> None:
+        """Give up the jobs of hosts that have fallen silent, until cancelled."""
+        while True:
+            await anyio.sleep(PEER_CHECK_S)
+            limit_s = time.monotonic() - SILENCE_S
+            for host in [host for host, heard in self._heard.items() if heard.at_s < limit_s]:
+                del self._heard[host]
+                for scope in self._scopes.get(host, ()):
+                    scope.cancel()
+
+    def find_strongest(self) -> Holder | None:
+        """Return the strongest host whose heartbeats arrive, or None."""
+        heard = max(self._heard.values(), key=lambda heard: heard.heartbeat.strength, default=None)
+        return None if heard is None else heard.heartbeat.holder
+
+    def _take_heartbeat(self, request: Request) -> Response:
+        try:
+            heartbeat = decode_heartbeat(request.body)
+        except CodecError:
+            return Response(400)
+        self._heard[heartbeat.holder.host] = _Heard(heartbeat, time.monotonic())
+        return Response(200, self._body)
+
+    async def _submit(self, request: Request) -> Response:
+        try:
+            submission = decode_submission(request.body)
+        except CodecError:
+            return Response(400)
+        if not self._leads():
+            return encode_answer(Moved())
+        answer: Answer = TimedOut("the entry host fell silent")
+        scopes = self._scopes.setdefault(submission.sender, set())
+        with anyio.CancelScope() as scope:
+            scopes.add(scope)
+            try:
+                answer = await self._scheduler.submit(
+                    submission.job, submission.age_ms / 1000, resubmitted=submission.resubmitted
+                )
+            finally:
+                scopes.discard(scope)
+        return encode_answer(answer)
--- /dev/null
+++ b/packages/entry/src/fireflybridge_entry/_submission.py
@@ -0,0 +1,143 @@
+"""Submission of a job to whoever leads the host's failure domain, again after a change."""
+
+import time
+from dataclasses import dataclass
+from typing import Protocol
+
+import anyio
+
+from fireflybridge_entry._codec import CodecError, Submission, decode_answer, encode_submission
+from fireflybridge_http import ConnectionPool, ExchangeError
+from fireflybridge_jobs import Answer, Job, Moved, NotRun, RefusalReason, TimedOut
+from fireflybridge_leadership import Notifier
+
+KEPT_CONNECTIONS = 32
+LEADER_WAIT_S = 1.2  # a change of the leader takes less
+ANSWER_MARGIN_S = 0.1  # the leader answers at the deadline; its answer takes a moment
+RETRY_AFTER_S = 1
+
+
+class LocalScheduler(Protocol):
+    """Take jobs on the host itself."""
+
+    async def submit(self, job: Job, age_s: float, *, resubmitted: bool) -> Answer:
+        """Return the answer to a job."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class LocalLeader:
+    """Say that this host leads."""
+
+
+@dataclass(frozen=True, slots=True)
+class RemoteLeader:
+    """Say at which address the leader takes jobs."""
+
+    address: str
+    incarnation: str
+
+
+Leader = LocalLeader | RemoteLeader | None
+
+
+class JobSubmitter:
+    """Submit jobs to the leader; a job survives a change of the leader.
+
+    A job that may have reached a lost leader is marked as submitted again, so that the next
+    leader adopts its runs instead of starting the tasks a second time beside them.
+    """
+
+    def __init__(self, host: str, scheduler: LocalScheduler) -> None:
+        self._host = host
+        self._scheduler = scheduler
+        self._leader: Leader = None
+        self._changed = Notifier()
+        self._pools: dict[str, ConnectionPool] = {}
+        self._exchanges: set[anyio.CancelScope] = set()
+
+    def set_leader(self, leader: Leader) -> None:
+        """Submit to this leader from now on; exchanges with the one before are given up."""
+        if leader == self._leader:
+            return
+        self._leader = leader
+        for scope in self._exchanges:
+            scope.cancel()
+        self._changed.notify()
+
+    @property
+    def has_leader(self) -> bool:
+        """Return whether jobs can be submitted now."""
+        return self._leader is not None
+
+    async def submit(self, job: Job) -> Answer:
+        """Return the answer to a job that this host has just received."""
+        received_s = time.monotonic()
+        deadline_s = received_s + min(job.wait_ms, job.policy.timeout_ms) / 1000
+        resubmitted = False
+        while time.monotonic() < deadline_s:
+            leader = await self._wait_for_leader(deadline_s)
+            match leader:
+                case None:
+                    break
+                case LocalLeader():
+                    age_s = time.monotonic() - received_s
+                    answer = await self._scheduler.submit(job, age_s, resubmitted=resubmitted)
+                    if not isinstance(answer, Moved):
+                        return answer
+                    resubmitted = True
+                case RemoteLeader():
+                    age_s = time.monotonic() - received_s
+                    submission = Submission(self._host, job, age_s * 1000, resubmitted)
+                    reply = await self._exchange(leader, submission, deadline_s)
+                    match reply:
+                        case Moved():
+                            resubmitted = True
+                        case _Unsent():
+                            pass
+                        case _:
+                            return reply
+            await self._wait_while_current(leader)
+        if resubmitted:
+            return TimedOut("no leader took the job before its deadline")
+        return NotRun(RefusalReason.NO_LEADER, RETRY_AFTER_S)
+
+    async def _wait_for_leader(self, deadline_s: float) -> Leader:
+        limit_s = min(deadline_s, time.monotonic() + LEADER_WAIT_S)
+        while self._leader is None and time.monotonic() < limit_s:
+            await self._changed.wait(limit_s - time.monotonic())
+        return self._leader
+
+    async def _wait_while_current(self, leader: Leader) -> None:
+        """Wait a moment for the next leader, so that a lost one is not asked in a tight loop."""
+        if self._leader == leader:
+            await self._changed.wait(0.05)
+
+    async def _exchange(
+        self, leader: RemoteLeader, submission: Submission, deadline_s: float
+    ) -> "Answer | _Unsent":
+        pool = self._find_pool(leader.address)
+        limit_s = max(deadline_s - time.monotonic(), 0) + ANSWER_MARGIN_S
+        with anyio.CancelScope() as scope:
+            self._exchanges.add(scope)
+            try:
+                response = await pool.exchange(encode_submission(submission), limit_s)
+                return decode_answer(response)
+            except ExchangeError as error:
+                return Moved() if error.may_have_run else _Unsent()
+            except CodecError:
+                return Moved()
+            finally:
+                self._exchanges.discard(scope)
+        return Moved()
+
+    def _find_pool(self, address: str) -> ConnectionPool:
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = self._pools[address] = ConnectionPool(address, KEPT_CONNECTIONS)
+        return pool
+
+
+@dataclass(frozen=True, slots=True)
+class _Unsent:
+    """Say that the job didn't reach the leader."""
--- /dev/null
+++ b/packages/execution/src/fireflybridge_execution/__init__.py
@@ -0,0 +1,43 @@
+"""Sessions with upstreams, and the scheduler that a leader runs over them."""
+
+from fireflybridge_execution._directory import Directory, DirectorySource, DirectoryView
+from fireflybridge_execution._events import (
+    ExecutionEvent,
+    JobEnded,
+    JobReceived,
+    RunStarted,
+    UpstreamDoubted,
+    UpstreamSynced,
+)
+from fireflybridge_execution._orders import (
+    Accepted,
+    Hold,
+    OrderConnection,
+    OrderConnector,
+    Rejected,
+    Rejection,
+    Start,
+    Stop,
+)
+from fireflybridge_execution._scheduler import Scheduler
+
+__all__ = [
+    "Accepted",
+    "Directory",
+    "DirectorySource",
+    "DirectoryView",
+    "ExecutionEvent",
+    "Hold",
+    "JobEnded",
+    "JobReceived",
+    "OrderConnection",
+    "OrderConnector",
+    "Rejected",
+    "Rejection",
+    "RunStarted",
+    "Scheduler",
+    "Start",
+    "Stop",
+    "UpstreamDoubted",
+    "UpstreamSynced",
+]
--- /dev/null
+++ b/packages/execution/src/fireflybridge_execution/_active_job.py
@@ -0,0 +1,133 @@
+"""State of one job that a leader is working on."""
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass
+from itertools import chain
+from math import log2
+
+import anyio
+
+from fireflybridge_jobs import Answer, Job, Step, Succeeded, TaskId
+
+WIDTH_FACTOR = 0.25  # the longest of many alike tasks exceeds their mean
+LONGEST_FACTOR = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class PlacedRun:
+    """Say where a task's current run is."""
+
+    upstream: str
+    number: int
+
+
+class ActiveJob:
+    """Keep which tasks of a job wait, run and are done, until the job has its answer."""
+
+    def __init__(self, job: Job, received_s: float, *, resubmitted: bool) -> None:
+        self.job = job
+        self.received_s = received_s
+        self.deadline_s = received_s + min(job.wait_ms, job.policy.timeout_ms) / 1000
+        self.resubmitted = resubmitted
+        self.waiters = 0
+        self.may_have_run = resubmitted
+        self.waiting: deque[TaskId] = deque()
+        self.runs: dict[TaskId, PlacedRun] = {}
+        self.failed_runs = 0
+        self.first_offered_s: float | None = None
+        self.answer: Answer | None = None
+        self.offered = anyio.Event()
+        self.answered = anyio.Event()
+        self._numbers: dict[TaskId, int] = {}
+        self._failures: dict[TaskId, tuple[str, ...]] = {}
+        self._done: set[TaskId] = set()
+        self._remaining = [step.count for step in job.steps]
+        self._released: set[int] = set()
+        self._release_steps()
+
+    def step_of(self, task: TaskId) -> Step:
+        """Return the step that a task belongs to."""
+        return self.job.steps[task.step]
+
+    def place(self, task: TaskId, upstream: str, now_s: float) -> int:
+        """Record that a waiting task is offered to an upstream; return the run's number."""
+        number = self._numbers.get(task, 0) + 1
+        self._numbers[task] = number
+        self.runs[task] = PlacedRun(upstream, number)
+        if self.first_offered_s is None:
+            self.first_offered_s = now_s
+        self.offered.set()
+        return number
+
+    def adopt(self, task: TaskId, upstream: str, number: int) -> bool:
+        """Record a run that an earlier leader started; return whether the task has no other."""
+        if task in self._done or task in self.runs or task not in self.waiting:
+            return False
+        self.waiting.remove(task)
+        self._numbers[task] = max(number, self._numbers.get(task, 0))
+        self.runs[task] = PlacedRun(upstream, number)
+        self.may_have_run = True
+        self.offered.set()
+        return True
+
+    def put_back(self, task: TaskId, *, skip_numbers: int = 0) -> None:
+        """Let a task wait again after its run came to nothing."""
+        self.runs.pop(task, None)
+        self._numbers[task] = self._numbers.get(task, 0) + skip_numbers
+        self.waiting.appendleft(task)
+
+    def fail_run(self, task: TaskId, upstream: str) -> int:
+        """Record a run that failed and let the task wait; return how often it has failed."""
+        self.failed_runs += 1
+        failures = (*self._failures.get(task, ()), upstream)
+        self._failures[task] = failures
+        self.put_back(task)
+        return len(failures)
+
+    def failed_on(self, task: TaskId) -> frozenset[str]:
+        """Return the upstreams on which a task has failed."""
+        return frozenset(self._failures.get(task, ()))
+
+    def finish(self, task: TaskId) -> None:
+        """Record that a task is done and release the steps that waited for its step."""
+        if task in self._done:
+            return
+        self._done.add(task)
+        self.runs.pop(task, None)
+        if task in self.waiting:
+            self.waiting.remove(task)
+        self._remaining[task.step] -= 1
+        if self._remaining[task.step] == 0:
+            self._release_steps()
+        if not any(self._remaining):
+            self.give_answer(Succeeded())
+
+    def give_answer(self, answer: Answer) -> None:
+        """Set the job's answer, unless it has one."""
+        if self.answer is None:
+            self.answer = answer
+            self.answered.set()
+            self.offered.set()
+
+    def _release_steps(self) -> None:
+        ready = [
+            index
+            for index, step in enumerate(self.job.steps)
+            if index not in self._released and not any(self._remaining[i] for i in step.after)
+        ]
+        self._released.update(ready)
+        self.waiting.extend(chain.from_iterable(self._name_tasks(index) for index in ready))
+
+    def _name_tasks(self, step: int) -> Iterable[TaskId]:
+        return (TaskId(self.job.id, 0, step, index) for index in range(self.job.steps[step].count))
+
+
+def compute_chain_ms(job: Job) -> float:
+    """Return the expected work of the longest chain of a job's tasks, by their estimates."""
+    lengths: list[float] = []
+    for step in job.steps:
+        longest = min(1 + WIDTH_FACTOR * log2(max(step.count, 1)), LONGEST_FACTOR)
+        before = max((lengths[index] for index in step.after), default=0.0)
+        lengths.append(before + step.estimate_ms * longest)
+    return max(lengths, default=0.0)
--- /dev/null
+++ b/packages/execution/src/fireflybridge_execution/_events.py
@@ -0,0 +1,62 @@
+"""Events that explain the scheduler's decisions, for logs and metrics."""
+
+from dataclasses import dataclass
+
+from fireflybridge_jobs import Answer, TaskId
+
+
+@dataclass(frozen=True, slots=True)
+class JobReceived:
+    """Report a job that was taken, with the length of the queue before it."""
+
+    job: str
+    route: str
+    tasks: int
+    chain_ms: float
+    queued_jobs: int
+    resubmitted: bool
+
+
+@dataclass(frozen=True, slots=True)
+class RunStarted:
+    """Report where a task was placed and the expected work that decided it."""
+
+    task: TaskId
+    number: int
+    upstream: str
+    work_ms: float
+    speed: float
+
+
+@dataclass(frozen=True, slots=True)
+class JobEnded:
+    """Report a job's answer, after how long and how many of its runs failed."""
+
+    job: str
+    route: str
+    answer: Answer
+    elapsed_ms: float
+    waited_ms: float | None
+    failed_runs: int
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamSynced:
+    """Report that an upstream's runs are known under this host's fencing token."""
+
+    upstream: str
+    fence: int
+    incarnation: int
+    running: int
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamDoubted:
+    """Report why an upstream is not trusted with new work for now."""
+
+    upstream: str
+    reason: str
+    failures: int
+
+
+ExecutionEvent = JobReceived | RunStarted | JobEnded | UpstreamSynced | UpstreamDoubted
--- /dev/null
+++ b/packages/host/src/fireflybridge_host/__init__.py
@@ -0,0 +1,13 @@
+"""Composition root of a host that dispatches through the platform."""
+
+from fireflybridge_host._host import PlatformPorts, RecordRequest, run_host
+from fireflybridge_host._settings import HostSettings, SettingsFault, check_settings
+
+__all__ = [
+    "HostSettings",
+    "PlatformPorts",
+    "RecordRequest",
+    "SettingsFault",
+    "check_settings",
+    "run_host",
+]
--- /dev/null
+++ b/packages/host/src/fireflybridge_host/_journal.py
@@ -0,0 +1,204 @@
+"""Log lines and counts for what a host decides and learns."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+import structlog
+
+from fireflybridge_entry import Configuration
+from fireflybridge_execution import (
+    ExecutionEvent,
+    JobEnded,
+    JobReceived,
+    RunStarted,
+    UpstreamDoubted,
+    UpstreamSynced,
+)
+from fireflybridge_jobs import Answer, Failed, Moved, NotRun, Succeeded, TaskId, TimedOut
+from fireflybridge_leadership import StoreError, Term
+
+LATENCY_BOUNDS_MS = (25.0, 50.0, 100.0, 200.0, 400.0, 800.0, 1600.0, 3200.0)
+
+
+@dataclass(frozen=True, slots=True)
+class _Outcome:
+    """Say how an answer is logged."""
+
+    name: str
+    reason: str = ""
+
+
+@dataclass(slots=True)
+class Tallies:
+    """Count answers, runs and faults, and answers by latency; read by the metrics."""
+
+    answers: Counter[tuple[str, str]] = field(default_factory=Counter)
+    latencies: Counter[tuple[str, float]] = field(default_factory=Counter)
+    latency_sum_ms: Counter[str] = field(default_factory=Counter)
+    runs: int = 0
+    failed_runs: int = 0
+    ejections: int = 0
+    store_errors: int = 0
+    terms: int = 0
+
+
+class Journal:
+    """Write one numbered line for each decision; docs/reference/host-events.md lists them."""
+
+    def __init__(self) -> None:
+        self.tallies = Tallies()
+        self._log = structlog.get_logger()
+
+    def record_execution(self, event: ExecutionEvent) -> None:
+        """Log what the scheduler did."""
+        match event:
+            case JobReceived():
+                self._log.info(
+                    "job received",
+                    event_id=7101,
+                    job=event.job,
+                    route=event.route,
+                    tasks=event.tasks,
+                    chain_ms=round(event.chain_ms),
+                    queued_jobs=event.queued_jobs,
+                    resubmitted=event.resubmitted,
+                )
+            case RunStarted():
+                self.tallies.runs += 1
+                self._log.info(
+                    "run started",
+                    event_id=7102,
+                    job=event.task.job,
+                    task=_format_task(event.task),
+                    run=event.number,
+                    upstream=event.upstream,
+                    work_ms=round(event.work_ms),
+                    speed=round(event.speed, 2),
+                )
+            case JobEnded():
+                self._record_end(event)
+            case UpstreamSynced():
+                self._log.info(
+                    "upstream synced",
+                    event_id=7201,
+                    upstream=event.upstream,
+                    fence=event.fence,
+                    incarnation=event.incarnation,
+                    running=event.running,
+                )
+            case UpstreamDoubted():
+                self.tallies.ejections += 1
+                self._log.warning(
+                    "upstream ejected",
+                    event_id=7202,
+                    upstream=event.upstream,
+                    reason=event.reason,
+                    failures=event.failures,
+                )
+
+    def record_request(self, job: str, route: str, answer: Answer, elapsed_ms: float) -> None:
+        """Log and count the answer that a caller got."""
+        outcome = _describe(answer)
+        self.tallies.answers[route, outcome.name] += 1
+        self.tallies.latency_sum_ms[route] += round(elapsed_ms)
+        bound = next((b for b in LATENCY_BOUNDS_MS if elapsed_ms <= b), float("inf"))
+        self.tallies.latencies[route, bound] += 1
+        self._log.info(
+            "request answered",
+            event_id=7103,
+            job=job,
+            route=route,
+            outcome=outcome.name,
+            reason=outcome.reason,
+            elapsed_ms=round(elapsed_ms),
+        )
+
+    def record_store_error(self, error: StoreError) -> None:
+        """Log a call to the platform's store that got no usable answer."""
+        self.tallies.store_errors += 1
+        self._log.warning("store call failed", event_id=7301, error=str(error))
+
+    def record_configuration(self, configuration: Configuration, waited_s: float) -> None:
+        """Log a configuration that has come into force."""
+        self._log.info(
+            "configuration in force",
+            event_id=7302,
+            version=configuration.version,
+            routes=len(configuration.routes),
+            waited_ms=round(waited_s * 1000),
+        )
+
+    def record_term(self, term: Term, *, own: bool) -> None:
+        """Log a new leader of the host's failure domain."""
+        self.tallies.terms += 1
+        self._log.info(
+            "leader known",
+            event_id=7401,
+            failure_domain=term.domain,
+            leader=term.holder.host,
+            address=term.holder.address,
+            fence=term.fence,
+            own=own,
+        )
+
+    def record_lost_leader(self, term: Term, reason: str) -> None:
+        """Log the loss of the leader."""
+        self._log.warning(
+            "leader lost",
+            event_id=7402,
+            failure_domain=term.domain,
+            leader=term.holder.host,
+            fence=term.fence,
+            reason=reason,
+        )
+
+    def record_claim(self, domains: tuple[str, ...], *, won: bool) -> None:
+        """Log an attempt to lead failure domains."""
+        self._log.info("leadership claimed", event_id=7403, failure_domains=domains, won=won)
+
+    def record_hand_over(self, domains: tuple[str, ...], successor: str, *, done: bool) -> None:
+        """Log that leadership was given to another host."""
+        self._log.info(
+            "leadership handed over",
+            event_id=7404,
+            failure_domains=domains,
+            successor=successor,
+            done=done,
+        )
+
+    def record_lifecycle(self, event_id: int, message: str, **fields: object) -> None:
+        """Log a start, a reload, the begin of a drain or a stop."""
+        self._log.info(message, event_id=event_id, **fields)
+
+    def _record_end(self, event: JobEnded) -> None:
+        outcome = _describe(event.answer)
+        self.tallies.failed_runs += event.failed_runs
+        self._log.info(
+            "job ended",
+            event_id=7104,
+            job=event.job,
+            route=event.route,
+            outcome=outcome.name,
+            reason=outcome.reason,
+            elapsed_ms=round(event.elapsed_ms),
+            waited_ms=None if event.waited_ms is None else round(event.waited_ms),
+            failed_runs=event.failed_runs,
+        )
+
+
+def _format_task(task: TaskId) -> str:
+    return f"{task.occurrence}.{task.step}.{task.index}"
+
+
+def _describe(answer: Answer) -> _Outcome:
+    match answer:
+        case Succeeded():
+            return _Outcome("succeeded")
+        case Failed(reason=reason):
+            return _Outcome("failed", reason)
+        case NotRun(reason=refusal):
+            return _Outcome("not-run", refusal)
+        case TimedOut(reason=reason):
+            return _Outcome("timed-out", reason)
+        case Moved():
+            return _Outcome("moved")
--- /dev/null
+++ b/packages/http/src/fireflybridge_http/_messages.py
@@ -0,0 +1,36 @@
+"""Requests and responses, complete with their bodies."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """Hold a request; header names are in lower case."""
+
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+
+    @property
+    def path(self) -> str:
+        """Return the target without its query."""
+        return self.target.partition("?")[0]
+
+    def find_header(self, name: str) -> str | None:
+        """Return the first value of a header, or None."""
+        return next((value for key, value in self.headers if key == name), None)
+
+
+@dataclass(frozen=True, slots=True)
+class Response:
+    """Hold a response; header names are in lower case."""
+
+    status: int
+    body: bytes = b""
+    headers: tuple[tuple[str, str], ...] = ()
+
+    @property
+    def succeeded(self) -> bool:
+        """Return whether the status is one of success."""
+        return 200 <= self.status < 300
--- /dev/null
+++ b/packages/jobs/src/fireflybridge_jobs/__init__.py
@@ -0,0 +1,35 @@
+"""Jobs, tasks, runs and answers, in the project's own words and free of any encoding."""
+
+from fireflybridge_jobs._answers import (
+    Answer,
+    Failed,
+    Moved,
+    NotRun,
+    RefusalReason,
+    Succeeded,
+    TimedOut,
+)
+from fireflybridge_jobs._jobs import Job, QueuePolicy, Step, TaskId
+from fireflybridge_jobs._runs import EndedRun, Ending, RunningRun, RunReport
+from fireflybridge_jobs._upstreams import Resources, UpstreamInfo, UpstreamState
+
+__all__ = [
+    "Answer",
+    "EndedRun",
+    "Ending",
+    "Failed",
+    "Job",
+    "Moved",
+    "NotRun",
+    "QueuePolicy",
+    "RefusalReason",
+    "Resources",
+    "RunReport",
+    "RunningRun",
+    "Step",
+    "Succeeded",
+    "TaskId",
+    "TimedOut",
+    "UpstreamInfo",
+    "UpstreamState",
+]
--- /dev/null
+++ b/packages/leadership/src/fireflybridge_leadership/_notifier.py
@@ -0,0 +1,21 @@
+"""Wake-up of the tasks that wait for a change."""
+
+import anyio
+
+
+class Notifier:
+    """Let any number of tasks wait for the next change."""
+
+    def __init__(self) -> None:
+        self._event = anyio.Event()
+
+    def notify(self) -> None:
+        """Wake every task that waits."""
+        event, self._event = self._event, anyio.Event()
+        event.set()
+
+    async def wait(self, timeout_s: float | None = None) -> None:
+        """Return at the next change, or after a time."""
+        event = self._event
+        with anyio.move_on_after(timeout_s):
+            await event.wait()
--- /dev/null
+++ b/packages/placement/src/fireflybridge_placement/__init__.py
@@ -0,0 +1,29 @@
+"""Decisions about waiting jobs, as plain functions over frozen data classes."""
+
+from fireflybridge_placement._admission import RETRY_AFTER_S, compute_refusal_time
+from fireflybridge_placement._choice import Candidate, Demand, choose_upstream
+from fireflybridge_placement._estimates import Estimates
+from fireflybridge_placement._health import (
+    Health,
+    record_failure,
+    record_refusal,
+    record_silence,
+    record_success,
+)
+from fireflybridge_placement._order import compute_objective_ms, compute_rank
+
+__all__ = [
+    "RETRY_AFTER_S",
+    "Candidate",
+    "Demand",
+    "Estimates",
+    "Health",
+    "choose_upstream",
+    "compute_objective_ms",
+    "compute_rank",
+    "compute_refusal_time",
+    "record_failure",
+    "record_refusal",
+    "record_silence",
+    "record_success",
+]
--- /dev/null
+++ b/packages/placement/src/fireflybridge_placement/_choice.py
@@ -0,0 +1,62 @@
+"""Choice of the upstream that runs a task."""
+
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass
+
+from fireflybridge_jobs import Resources
+
+RESERVE_MS = 40.0  # price of one unit of speed; keeps fast upstreams for long tasks
+REMOTE_DATA_FACTOR = 3.0  # how much longer a task takes off the rack of its data
+CPU_PRICE_MS = 0.0002  # for each free thousandth of a core left over; fills upstreams up
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """Describe the room and speed of an upstream that takes work."""
+
+    id: str
+    room: Resources
+    speed: float
+    labels: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """Describe a task that waits: what it needs, its expected work and where it may run."""
+
+    needs: Resources
+    work_ms: float
+    required_label: str = ""
+    data_rack: str = ""
+    excluded: frozenset[str] = frozenset()
+
+
+def choose_upstream(demand: Demand, candidates: Iterable[Candidate]) -> str | None:
+    """Return the id of the upstream with the lowest cost in time, or None if none has room.
+
+    Answers a mix of long and short tasks on upstreams of different speeds: long tasks gain most
+    from a fast upstream, so short ones leave it free unless nothing else would be in time.
+    """
+    fitting = [candidate for candidate in candidates if _fits(demand, candidate)]
+    if not fitting:
+        return None
+    return min(fitting, key=lambda candidate: _compute_cost(demand, candidate)).id
+
+
+def _fits(demand: Demand, candidate: Candidate) -> bool:
+    return (
+        demand.needs.fits_in(candidate.room)
+        and candidate.id not in demand.excluded
+        and _carries(candidate.labels, demand.required_label)
+    )
+
+
+def _carries(labels: Collection[str], label: str) -> bool:
+    return not label or label in labels
+
+
+def _compute_cost(demand: Demand, candidate: Candidate) -> float:
+    local = _carries(candidate.labels, demand.data_rack)
+    work_ms = demand.work_ms if local else demand.work_ms * REMOTE_DATA_FACTOR
+    left = candidate.room.cpu_millicores - demand.needs.cpu_millicores
+    return work_ms / candidate.speed + RESERVE_MS * candidate.speed + CPU_PRICE_MS * left
--- /dev/null
+++ b/packages/placement/src/fireflybridge_placement/_health.py
@@ -0,0 +1,62 @@
+"""Whether an upstream is trusted with new work, from what its runs and calls showed."""
+
+from dataclasses import dataclass, replace
+
+FAILURES_TO_EJECT = 2  # one failure may be the task's own fault
+FIRST_EJECTION_S = 0.5
+LONGEST_EJECTION_S = 4.0
+
+
+@dataclass(frozen=True, slots=True)
+class Health:
+    """Hold the failures in a row and the time until which the upstream gets no work.
+
+    After an ejection the upstream is on probation: it gets one run at a time until one succeeds.
+    """
+
+    failures: int = 0
+    last_failed_job: str = ""
+    ejected_until_s: float = 0.0
+    ejection_s: float = FIRST_EJECTION_S
+    on_probation: bool = False
+
+    def admits(self, now_s: float, runs: int) -> bool:
+        """Return whether the upstream may get one more run beside those under way."""
+        if now_s < self.ejected_until_s:
+            return False
+        return not (self.on_probation and runs)
+
+
+def record_success(_health: Health) -> Health:
+    """Return the health after a run was done."""
+    return Health()
+
+
+def record_failure(health: Health, job: str, now_s: float) -> Health:
+    """Return the health after a run failed; failures of one job count once."""
+    if job == health.last_failed_job and not health.on_probation:
+        return health
+    failures = health.failures + 1
+    counted = replace(health, failures=failures, last_failed_job=job)
+    return _eject(counted, now_s) if failures >= FAILURES_TO_EJECT else counted
+
+
+def record_silence(health: Health, now_s: float) -> Health:
+    """Return the health after a call got no answer in time."""
+    return _eject(health, now_s)
+
+
+def record_refusal(health: Health, now_s: float) -> Health:
+    """Return the health after the upstream refused a run as unhealthy."""
+    return _eject(health, now_s)
+
+
+def _eject(health: Health, now_s: float) -> Health:
+    if now_s < health.ejected_until_s:
+        return health
+    return replace(
+        health,
+        ejected_until_s=now_s + health.ejection_s,
+        ejection_s=min(2 * health.ejection_s, LONGEST_EJECTION_S),
+        on_probation=True,
+    )
--- /dev/null
+++ b/packages/placement/src/fireflybridge_placement/_order.py
@@ -0,0 +1,20 @@
+"""Order in which waiting jobs are served."""
+
+from fireflybridge_jobs import Job
+
+
+def compute_objective_ms(job: Job, chain_ms: float) -> float:
+    """Return the time within which a job's answer counts in full.
+
+    ``chain_ms`` is the expected work of the longest chain of the job's tasks.
+    """
+    return job.policy.target_latency_ms + job.policy.stretch * chain_ms
+
+
+def compute_rank(job: Job, received_s: float, chain_ms: float) -> float:
+    """Return the latest start that keeps the objective; the smallest is served first.
+
+    Answers short work behind long work at a peak: a job of short tasks has little slack and goes
+    ahead of a job of long tasks that was received a little earlier.
+    """
+    return received_s + (compute_objective_ms(job, chain_ms) - chain_ms) / 1000
