Lead a cut-off failure domain without the log, and join leaders again after a split

Its strongest host leads it now under a token between two recorded terms; heartbeats carry terms and peers for that. A resubmitted job waits now until no run of an earlier leader can be alive, unless one host leads all upstreams. Several leaders see a third of the room each: the later one hands over to the first one once it has answered for 1.5 s. A host reads the directory in standby too.

Ruled out: load (the runs lie 1 s apart in the log), late orders (none in that minute).

--- a/packages/entry/src/fireflybridge_entry/__init__.py
+++ b/packages/entry/src/fireflybridge_entry/__init__.py
@@ -1,6 +1,6 @@
 """Entry of callers' jobs: routes, submission to the leader, and the link to it."""
 
-from fireflybridge_entry._codec import CodecError, Heartbeat
+from fireflybridge_entry._codec import CodecError, Peer
 from fireflybridge_entry._configuration import (
     Configuration,
     ConfigurationSource,
@@ -16,13 +16,13 @@
     "CodecError",
     "Configuration",
     "ConfigurationSource",
-    "Heartbeat",
     "JobScheduler",
     "JobSubmitter",
     "LeaderLink",
     "Limits",
     "LinkLoss",
     "LocalLeader",
+    "Peer",
     "PeerService",
     "RemoteLeader",
     "Route",
--- a/packages/entry/src/fireflybridge_entry/_codec.py
+++ b/packages/entry/src/fireflybridge_entry/_codec.py
@@ -16,7 +16,7 @@
     Succeeded,
     TimedOut,
 )
-from fireflybridge_leadership import Holder
+from fireflybridge_leadership import Holder, Term
 
 SUBMIT_PATH = "/peer/jobs"
 HEARTBEAT_PATH = "/peer/heartbeat"
@@ -37,13 +37,26 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Heartbeat:
-    """Hold what hosts tell each other on each heartbeat: who they are and how strong."""
+class Peer:
+    """Describe a host to the others."""
 
     holder: Holder
+    failure_domain: str
     strength: float
 
 
+@dataclass(frozen=True, slots=True)
+class HeartbeatReply:
+    """Hold what a host answers to a heartbeat: itself, the terms it knows, and its peers.
+
+    The peers are the hosts of the asking host's failure domain whose heartbeats arrive.
+    """
+
+    sender: Peer
+    terms: tuple[Term, ...]
+    peers: tuple[Peer, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class _AnswerMessage:
     kind: str
@@ -54,7 +67,8 @@
 T = TypeVar("T")
 
 _submissions = msgspec.json.Decoder(Submission)
-_heartbeats = msgspec.json.Decoder(Heartbeat)
+_heartbeats = msgspec.json.Decoder(Peer)
+_replies = msgspec.json.Decoder(HeartbeatReply)
 _answers = msgspec.json.Decoder(_AnswerMessage)
 _encoder = msgspec.json.Encoder()
 
@@ -69,16 +83,28 @@
     return _decode(_submissions, body)
 
 
-def encode_heartbeat(heartbeat: Heartbeat) -> bytes:
-    """Return the body of a heartbeat or of its response."""
-    return _encoder.encode(heartbeat)
+def encode_heartbeat(sender: Peer) -> Request:
+    """Return the request that tells another host of this one."""
+    return Request("POST", HEARTBEAT_PATH, body=_encoder.encode(sender))
 
 
-def decode_heartbeat(body: bytes) -> Heartbeat:
-    """Return a heartbeat; raise ``CodecError`` if it can't be read."""
+def decode_heartbeat(body: bytes) -> Peer:
+    """Return the sender of a heartbeat; raise ``CodecError`` if it can't be read."""
     return _decode(_heartbeats, body)
 
 
+def encode_heartbeat_reply(reply: HeartbeatReply) -> Response:
+    """Return the response to a heartbeat."""
+    return Response(200, _encoder.encode(reply))
+
+
+def decode_heartbeat_reply(response: Response) -> HeartbeatReply:
+    """Return the reply in a response; raise ``CodecError`` if it can't be read."""
+    if not response.succeeded:
+        raise CodecError(f"status {response.status}")
+    return _decode(_replies, response.body)
+
+
 def encode_answer(answer: Answer) -> Response:
     """Return the response that carries an answer."""
     match answer:
--- a/packages/entry/src/fireflybridge_entry/_peer_service.py
+++ b/packages/entry/src/fireflybridge_entry/_peer_service.py
@@ -1,7 +1,6 @@
 """What a host answers to the others: heartbeats, and jobs while it leads."""
 
 import time
-from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -11,16 +10,17 @@
     HEARTBEAT_PATH,
     SUBMIT_PATH,
     CodecError,
-    Heartbeat,
+    HeartbeatReply,
+    Peer,
     decode_heartbeat,
     decode_submission,
     encode_answer,
-    encode_heartbeat,
+    encode_heartbeat_reply,
 )
 from fireflybridge_entry._link import SILENCE_S
 from fireflybridge_http import Request, Response
 from fireflybridge_jobs import Answer, Job, Moved, TimedOut
-from fireflybridge_leadership import Holder
+from fireflybridge_leadership import Holder, Leadership
 
 PEER_CHECK_S = 0.1
 
@@ -35,9 +35,9 @@
 
 @dataclass(frozen=True, slots=True)
 class _Heard:
-    """Hold a host's newest heartbeat and when it arrived."""
+    """Hold the sender of a heartbeat and when the newest one arrived."""
 
-    heartbeat: Heartbeat
+    peer: Peer
     at_s: float
 
 
@@ -48,13 +48,10 @@
     and their callers may send them to another host.
     """
 
-    def __init__(
-        self, heartbeat: Heartbeat, scheduler: JobScheduler, leads: Callable[[], bool]
-    ) -> None:
-        """Take jobs while ``leads`` returns true."""
-        self._body = encode_heartbeat(heartbeat)
+    def __init__(self, host: Peer, scheduler: JobScheduler, leadership: Leadership) -> None:
+        self._host = host
         self._scheduler = scheduler
-        self._leads = leads
+        self._leadership = leadership
         self._heard: dict[str, _Heard] = {}
         self._scopes: dict[str, set[anyio.CancelScope]] = {}
 
@@ -80,23 +77,30 @@
 
     def find_strongest(self) -> Holder | None:
         """Return the strongest host whose heartbeats arrive, or None."""
-        heard = max(self._heard.values(), key=lambda heard: heard.heartbeat.strength, default=None)
-        return None if heard is None else heard.heartbeat.holder
+        peers = (heard.peer for heard in self._heard.values())
+        strongest = max(peers, key=lambda peer: peer.strength, default=None)
+        return None if strongest is None else strongest.holder
 
     def _take_heartbeat(self, request: Request) -> Response:
         try:
-            heartbeat = decode_heartbeat(request.body)
+            sender = decode_heartbeat(request.body)
         except CodecError:
             return Response(400)
-        self._heard[heartbeat.holder.host] = _Heard(heartbeat, time.monotonic())
-        return Response(200, self._body)
+        self._heard[sender.holder.host] = _Heard(sender, time.monotonic())
+        peers = tuple(
+            heard.peer
+            for heard in self._heard.values()
+            if heard.peer.failure_domain == sender.failure_domain
+        )
+        terms = tuple(self._leadership.terms.values())
+        return encode_heartbeat_reply(HeartbeatReply(self._host, terms, peers))
 
     async def _submit(self, request: Request) -> Response:
         try:
             submission = decode_submission(request.body)
         except CodecError:
             return Response(400)
-        if not self._leads():
+        if not self._leadership.find_led_by(self._host.holder):
             return encode_answer(Moved())
         answer: Answer = TimedOut("the entry host fell silent")
         scopes = self._scopes.setdefault(submission.sender, set())
--- a/packages/entry/src/fireflybridge_entry/_submission.py
+++ b/packages/entry/src/fireflybridge_entry/_submission.py
@@ -10,9 +10,10 @@
 from fireflybridge_http import ConnectionPool, ExchangeError
 from fireflybridge_jobs import Answer, Job, Moved, NotRun, RefusalReason, TimedOut
 from fireflybridge_leadership import Notifier
+from fireflybridge_placement import compute_chain_ms, compute_objective_ms
 
 KEPT_CONNECTIONS = 32
-LEADER_WAIT_S = 1.2  # a change of the leader takes less
+LEADER_WAIT_SHARE = 0.24  # share of its objective that a job may wait for a leader
 ANSWER_MARGIN_S = 0.1  # the leader answers at the deadline; its answer takes a moment
 RETRY_AFTER_S = 1
 
@@ -74,9 +75,10 @@
         """Return the answer to a job that this host has just received."""
         received_s = time.monotonic()
         deadline_s = received_s + min(job.wait_ms, job.policy.timeout_ms) / 1000
+        patience_s = LEADER_WAIT_SHARE * compute_objective_ms(job, compute_chain_ms(job)) / 1000
         resubmitted = False
         while time.monotonic() < deadline_s:
-            leader = await self._wait_for_leader(deadline_s)
+            leader = await self._wait_for_leader(min(deadline_s, time.monotonic() + patience_s))
             match leader:
                 case None:
                     break
@@ -99,11 +101,10 @@
                             return reply
             await self._wait_while_current(leader)
         if resubmitted:
-            return TimedOut("no leader took the job before its deadline")
+            return TimedOut("no leader took the job in time")
         return NotRun(RefusalReason.NO_LEADER, RETRY_AFTER_S)
 
-    async def _wait_for_leader(self, deadline_s: float) -> Leader:
-        limit_s = min(deadline_s, time.monotonic() + LEADER_WAIT_S)
+    async def _wait_for_leader(self, limit_s: float) -> Leader:
         while self._leader is None and time.monotonic() < limit_s:
             await self._changed.wait(limit_s - time.monotonic())
         return self._leader
--- a/packages/execution/src/fireflybridge_execution/_active_job.py
+++ b/packages/execution/src/fireflybridge_execution/_active_job.py
@@ -4,15 +4,11 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from itertools import chain
-from math import log2
 
 import anyio
 
 from fireflybridge_jobs import Answer, Job, Step, Succeeded, TaskId
 
-WIDTH_FACTOR = 0.25  # the longest of many alike tasks exceeds their mean
-LONGEST_FACTOR = 2.0
-
 
 @dataclass(frozen=True, slots=True)
 class PlacedRun:
@@ -121,13 +117,3 @@
 
     def _name_tasks(self, step: int) -> Iterable[TaskId]:
         return (TaskId(self.job.id, 0, step, index) for index in range(self.job.steps[step].count))
-
-
-def compute_chain_ms(job: Job) -> float:
-    """Return the expected work of the longest chain of a job's tasks, by their estimates."""
-    lengths: list[float] = []
-    for step in job.steps:
-        longest = min(1 + WIDTH_FACTOR * log2(max(step.count, 1)), LONGEST_FACTOR)
-        before = max((lengths[index] for index in step.after), default=0.0)
-        lengths.append(before + step.estimate_ms * longest)
-    return max(lengths, default=0.0)
--- a/packages/execution/src/fireflybridge_execution/_directory.py
+++ b/packages/execution/src/fireflybridge_execution/_directory.py
@@ -11,6 +11,7 @@
 from fireflybridge_leadership import StoreError
 
 REFRESH_S = 0.4  # keeps a draining upstream from getting work within the bound of two seconds
+STANDBY_REFRESH_S = 3.0  # a host that must lead without the store knows the upstreams
 RETRY_S = 0.2
 REMOVAL_GRACE_S = 2.5  # entries that expired in an outage return within two seconds after it
 
@@ -44,18 +45,31 @@
         self._on_error = on_error
         self._view: Mapping[str, UpstreamInfo] = {}
         self._trouble_s = -REMOVAL_GRACE_S
+        self._leading = False
+        self._hastened = anyio.Event()
+
+    def set_leading(self, leading: bool) -> None:
+        """Read often while this host gives orders, and at once when it begins to."""
+        if leading and not self._leading:
+            self._hastened.set()
+        self._leading = leading
 
     async def follow(self) -> None:
         """Report each change of the view until cancelled."""
         while True:
             try:
                 self._take(await self._source.refresh())
-                await anyio.sleep(REFRESH_S)
+                await self._pause()
             except StoreError as error:
                 self._trouble_s = time.monotonic()
                 self._on_error(error)
                 await anyio.sleep(RETRY_S)
 
+    async def _pause(self) -> None:
+        self._hastened = anyio.Event()
+        with anyio.move_on_after(REFRESH_S if self._leading else STANDBY_REFRESH_S):
+            await self._hastened.wait()
+
     def _take(self, found: Mapping[str, UpstreamInfo]) -> None:
         view = dict(found)
         if time.monotonic() < self._trouble_s + REMOVAL_GRACE_S:
--- a/packages/execution/src/fireflybridge_execution/_scheduler.py
+++ b/packages/execution/src/fireflybridge_execution/_scheduler.py
@@ -2,13 +2,13 @@
 
 import time
 from bisect import insort
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
 
 import anyio
 from anyio.abc import TaskGroup
 
-from fireflybridge_execution._active_job import ActiveJob, compute_chain_ms
+from fireflybridge_execution._active_job import ActiveJob
 from fireflybridge_execution._directory import DirectoryView
 from fireflybridge_execution._events import (
     ExecutionEvent,
@@ -42,12 +42,13 @@
     Demand,
     Estimates,
     choose_upstream,
+    compute_chain_ms,
     compute_rank,
     compute_refusal_time,
 )
 
 PLACEMENT_RETRY_S = 0.02  # re-examines pauses of upstreams while work waits
-SETTLING_S = 1.1  # the longest lease that an earlier leader may have left behind
+SETTLING_S = 2.0  # a lease of an earlier leader and the adoption wait of another new one
 SKIPPED_NUMBERS = 8  # after an upstream has seen a later run of the task than this host knows
 JOBS_TRIED = 8  # waiting jobs examined once a job ahead of them found no room
 HOPELESS_SHARE = 0.5  # estimates are far off, so a job is given up well past its expectation
@@ -61,7 +62,9 @@
         connector: OrderConnector,
         on_event: Callable[[ExecutionEvent], None],
         on_superseded: Callable[[], None],
+        failure_domains: Iterable[str],
     ) -> None:
+        self._domains = frozenset(failure_domains)
         self._connector = connector
         self._on_event = on_event
         self._on_superseded = on_superseded
@@ -323,9 +326,17 @@
         return now_s + HOPELESS_SHARE * needed_ms / 1000 > active.deadline_s
 
     def _has_settled(self, now_s: float) -> bool:
+        """Return whether no run of an earlier leader can be alive without this host's knowledge.
+
+        Upstreams of other failure domains may run tasks of the job under their own leader, so a
+        host that doesn't lead them all waits until such runs have ended.
+        """
         if now_s >= self._settled_s:
             return True
-        return bool(self._sessions) and all(session.synced for session in self._sessions.values())
+        return self._leads_all() and all(session.synced for session in self._sessions.values())
+
+    def _leads_all(self) -> bool:
+        return bool(self._sessions) and self._fences.keys() >= self._domains
 
     # Sessions
 
--- a/packages/host/src/fireflybridge_host/_campaign.py
+++ b/packages/host/src/fireflybridge_host/_campaign.py
@@ -5,16 +5,31 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from fireflybridge_entry import JobSubmitter, LeaderLink, LocalLeader, PeerService, RemoteLeader
+from fireflybridge_entry import (
+    JobSubmitter,
+    LeaderLink,
+    LocalLeader,
+    Peer,
+    PeerService,
+    RemoteLeader,
+)
 from fireflybridge_execution import Directory, Scheduler
 from fireflybridge_host._journal import Journal
 from fireflybridge_host._settings import HostSettings
-from fireflybridge_leadership import Holder, Leadership, Term, group_orphans
+from fireflybridge_leadership import (
+    ClaimResult,
+    Holder,
+    Leadership,
+    Term,
+    begin_provisional_term,
+    group_orphans,
+)
 
 FIRST_CLAIM_SPREAD_S = 0.6  # lets the strongest host of a fresh start claim first
 CLAIM_SPREAD_S = 0.03  # parts the claims of hosts that lose their leader together
 FULL_STRENGTH = 3.0  # cores from which a stronger host waits no less
 RECHECK_S = 1.0
+JOIN_AFTER_S = 1.5  # a host that flaps would move the upstreams to and fro
 HAND_OVER_S = 0.5
 
 
@@ -45,7 +60,6 @@
         self._peers = peers
         self._journal = journal
         self._draining = False
-        self._directory_scope: anyio.CancelScope | None = None
 
     @property
     def leads(self) -> bool:
@@ -54,51 +68,86 @@
 
     async def run(self, group: TaskGroup) -> None:
         """Follow or lead until cancelled."""
-        group.start_soon(self._apply_terms, group)
+        group.start_soon(self._apply_terms)
         await self._leadership.changed.wait()
         while True:
             term = self._leadership.terms.get(self._domain)
             if term is None:
                 await self._claim_first()
             elif term.holder == self._holder:
-                await self._leadership.changed.wait(RECHECK_S)
+                await self._lead(term)
             else:
                 await self._follow(term)
 
     async def hand_over(self) -> None:
         """Give what this host leads to the strongest host that it hears, and claim no more."""
         self._draining = True
-        domains = tuple(term.domain for term in self._leadership.find_led_by(self._holder))
         successor = self._peers.find_strongest()
-        if not domains or successor is None:
+        if successor is None:
             return
         with anyio.move_on_after(HAND_OVER_S):
-            done = False
-            while not done and self.leads:
-                done = await self._leadership.claim(domains, successor)
-                self._journal.record_hand_over(domains, successor.host, done=done)
-                if not done:
-                    await self._leadership.changed.wait(0.05)
+            while self.leads and not await self._give_to(successor):
+                await self._leadership.changed.wait(CLAIM_SPREAD_S)
+
+    async def _give_to(self, successor: Holder) -> bool:
+        domains = tuple(term.domain for term in self._leadership.find_led_by(self._holder))
+        result = await self._leadership.claim(domains, successor)
+        done = result is ClaimResult.WON
+        self._journal.record_hand_over(domains, successor.host, done=done)
+        return done
 
     async def _claim_first(self) -> None:
         share = 1 - min(self._strength / FULL_STRENGTH, 1)
         await anyio.sleep(FIRST_CLAIM_SPREAD_S * share + random.uniform(0, CLAIM_SPREAD_S))
-        await self._claim(group_orphans(self._domains, self._leadership.terms, None))
+        domains = group_orphans(self._domains, self._leadership.terms, None)
+        if self._draining or await self._claim(domains) is not ClaimResult.WON:
+            await self._leadership.changed.wait(RECHECK_S)
+
+    async def _claim(self, domains: tuple[str, ...]) -> ClaimResult:
+        result = await self._leadership.claim(domains, self._holder)
+        self._journal.record_claim(domains, result)
+        return result
 
-    async def _claim(self, domains: tuple[str, ...]) -> None:
-        if self._draining or not domains:
+    async def _lead(self, term: Term) -> None:
+        """Record a provisional term in the log; otherwise join the leader of the others."""
+        primary = self._find_primary()
+        if self._draining:
             await self._leadership.changed.wait(RECHECK_S)
-            return
-        won = await self._leadership.claim(domains, self._holder)
-        self._journal.record_claim(domains, won=won)
-        if not won:
-            await self._leadership.changed.wait(CLAIM_SPREAD_S)
+        elif term.provisional:
+            if await self._claim((self._domain,)) is not ClaimResult.WON:
+                await self._leadership.changed.wait(RECHECK_S / 4)
+        elif primary is None or primary.holder == self._holder:
+            await self._leadership.changed.wait(RECHECK_S)
+        else:
+            await self._join(primary)
+
+    def _find_primary(self) -> Term | None:
+        """Return the term whose holder leads every failure domain that it can reach."""
+        return next(
+            (
+                self._leadership.terms[domain]
+                for domain in self._domains
+                if domain in self._leadership.terms
+            ),
+            None,
+        )
+
+    async def _join(self, primary: Term) -> None:
+        """Hand over to the primary once it has answered for a while.
+
+        One leader sees all the room there is, so wide jobs wait less than under several.
+        """
+        loss = await self._link.watch(primary, JOIN_AFTER_S)
+        if loss is not None:
+            await self._leadership.changed.wait(RECHECK_S)
+        elif self._leadership.terms.get(primary.domain) == primary and not self._draining:
+            await self._give_to(primary.holder)
 
     async def _follow(self, term: Term) -> None:
         holder = term.holder
         if holder.host == self._holder.host:
             # The term is of an earlier life of this host.
-            await self._claim((self._domain,))
+            await self._replace(term)
             return
         self._submitter.set_leader(RemoteLeader(holder.address, holder.incarnation))
         self._journal.record_term(term, own=False)
@@ -108,25 +157,49 @@
         self._journal.record_lost_leader(term, loss.reason)
         self._submitter.set_leader(None)
         await anyio.sleep(random.uniform(0, CLAIM_SPREAD_S))
-        if self._leadership.terms.get(self._domain) == term:
-            await self._claim((self._domain,))
+        await self._replace(term)
+
+    async def _replace(self, lost: Term) -> None:
+        """Claim the failure domain until it has another leader or the lost one answers."""
+        while self._leadership.terms.get(self._domain) == lost:
+            if not self._draining:
+                result = await self._claim((self._domain,))
+                if result is ClaimResult.UNREACHABLE:
+                    await self._stand_in(lost)
+            if self._leadership.terms.get(self._domain) != lost:
+                return
+            if lost.holder.host != self._holder.host and await self._link.answers(lost.holder):
+                return
+            await self._leadership.changed.wait(CLAIM_SPREAD_S)
 
-    async def _apply_terms(self, group: TaskGroup) -> None:
+    async def _stand_in(self, lost: Term) -> None:
+        """Lead without the log unless a stronger host of the failure domain answers.
+
+        A failure domain that is cut off from the platform goes on serving with its own upstreams.
+        """
+        others = [peer for peer in self._link.peers if peer.holder.host != self._holder.host]
+        ahead = sorted(
+            (peer for peer in others if self._goes_ahead(peer)),
+            key=lambda peer: (-peer.strength, peer.holder.host),
+        )
+        for peer in ahead:
+            if await self._link.answers(peer.holder):
+                # Its reply carries its term once it leads.
+                return
+        term = begin_provisional_term(lost, self._holder, len(ahead))
+        self._journal.record_provisional(term, len(others) + 1)
+        self._leadership.learn((term,))
+
+    def _goes_ahead(self, peer: Peer) -> bool:
+        return (-peer.strength, peer.holder.host) < (-self._strength, self._holder.host)
+
+    async def _apply_terms(self) -> None:
         """Let the scheduler lead exactly the failure domains that the terms give to this host."""
         while True:
             led = self._leadership.find_led_by(self._holder)
-            if led and self._directory_scope is None:
-                self._directory_scope = anyio.CancelScope()
-                group.start_soon(self._follow_directory, self._directory_scope)
-            if not led and self._directory_scope is not None:
-                self._directory_scope.cancel()
-                self._directory_scope = None
+            self._directory.set_leading(bool(led))
             own = self._leadership.terms.get(self._domain)
             if own is not None and own.holder == self._holder:
                 self._submitter.set_leader(LocalLeader())
             self._scheduler.lead({term.domain: term.fence for term in led})
             await self._leadership.changed.wait()
-
-    async def _follow_directory(self, scope: anyio.CancelScope) -> None:
-        with scope:
-            await self._directory.follow()
--- a/packages/host/src/fireflybridge_host/_host.py
+++ b/packages/host/src/fireflybridge_host/_host.py
@@ -13,10 +13,10 @@
 from fireflybridge_entry import (
     Configuration,
     ConfigurationSource,
-    Heartbeat,
     JobSubmitter,
     LeaderLink,
     Limits,
+    Peer,
     PeerService,
     RouteTable,
 )
@@ -76,22 +76,25 @@
         self._ports = ports
         self._journal = Journal()
         holder = Holder(settings.name, uuid.uuid4().hex[:12], settings.peer_address)
-        heartbeat = Heartbeat(holder, settings.strength)
+        peer = Peer(holder, settings.failure_domain, settings.strength)
         self._leadership = Leadership(ports.terms, self._journal.record_store_error)
         self._routes = RouteTable()
         self._scheduler = Scheduler(
-            ports.orders, self._journal.record_execution, self._leadership.changed.notify
+            ports.orders,
+            self._journal.record_execution,
+            self._leadership.changed.notify,
+            settings.failure_domains,
         )
         self._directory = Directory(
             ports.directory, self._scheduler.set_upstreams, self._journal.record_store_error
         )
         self._submitter = JobSubmitter(settings.name, self._scheduler)
-        self._peers = PeerService(heartbeat, self._scheduler, lambda: self._campaign.leads)
+        self._peers = PeerService(peer, self._scheduler, self._leadership)
         self._campaign = Campaign(
             settings,
             holder,
             self._leadership,
-            LeaderLink(self._leadership, heartbeat),
+            LeaderLink(self._leadership, peer),
             self._submitter,
             self._scheduler,
             self._directory,
@@ -123,6 +126,7 @@
                 group.start_soon(server.serve, group)
             group.start_soon(self._leadership.follow)
             group.start_soon(self._scheduler.serve)
+            group.start_soon(self._directory.follow)
             group.start_soon(self._follow_configuration)
             group.start_soon(self._peers.watch_senders)
             group.start_soon(self._campaign.run, group)
--- a/packages/host/src/fireflybridge_host/_journal.py
+++ b/packages/host/src/fireflybridge_host/_journal.py
@@ -15,7 +15,7 @@
     UpstreamSynced,
 )
 from fireflybridge_jobs import Answer, Failed, Moved, NotRun, Succeeded, TaskId, TimedOut
-from fireflybridge_leadership import StoreError, Term
+from fireflybridge_leadership import ClaimResult, StoreError, Term
 
 LATENCY_BOUNDS_MS = (25.0, 50.0, 100.0, 200.0, 400.0, 800.0, 1600.0, 3200.0)
 
@@ -152,9 +152,21 @@
             reason=reason,
         )
 
-    def record_claim(self, domains: tuple[str, ...], *, won: bool) -> None:
+    def record_claim(self, domains: tuple[str, ...], result: ClaimResult) -> None:
         """Log an attempt to lead failure domains."""
-        self._log.info("leadership claimed", event_id=7403, failure_domains=domains, won=won)
+        self._log.info(
+            "leadership claimed", event_id=7403, failure_domains=domains, result=result.name
+        )
+
+    def record_provisional(self, term: Term, candidates: int) -> None:
+        """Log that this host leads while the log can't be reached."""
+        self._log.warning(
+            "provisional leadership",
+            event_id=7405,
+            failure_domain=term.domain,
+            fence=term.fence,
+            candidates=candidates,
+        )
 
     def record_hand_over(self, domains: tuple[str, ...], successor: str, *, done: bool) -> None:
         """Log that leadership was given to another host."""
--- a/packages/leadership/src/fireflybridge_leadership/__init__.py
+++ b/packages/leadership/src/fireflybridge_leadership/__init__.py
@@ -1,6 +1,6 @@
 """Which host gives orders to the upstreams of a failure domain."""
 
-from fireflybridge_leadership._leadership import Leadership
+from fireflybridge_leadership._leadership import ClaimResult, Leadership
 from fireflybridge_leadership._notifier import Notifier
 from fireflybridge_leadership._store import (
     Appended,
@@ -10,11 +10,19 @@
     TermsRead,
     TermStore,
 )
-from fireflybridge_leadership._terms import Holder, Term, group_orphans, select_terms
+from fireflybridge_leadership._terms import (
+    Holder,
+    Term,
+    begin_provisional_term,
+    compute_fence,
+    group_orphans,
+    select_terms,
+)
 
 __all__ = [
     "AppendResult",
     "Appended",
+    "ClaimResult",
     "Conflict",
     "Holder",
     "Leadership",
@@ -23,6 +31,8 @@
     "Term",
     "TermStore",
     "TermsRead",
+    "begin_provisional_term",
+    "compute_fence",
     "group_orphans",
     "select_terms",
 ]
--- a/packages/leadership/src/fireflybridge_leadership/_leadership.py
+++ b/packages/leadership/src/fireflybridge_leadership/_leadership.py
@@ -1,6 +1,7 @@
 """A host's view of the terms, kept from the platform's log."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
+from enum import Enum, auto
 from types import MappingProxyType
 
 import anyio
@@ -9,10 +10,19 @@
 from fireflybridge_leadership._store import Appended, Conflict, StoreError, TermsRead, TermStore
 from fireflybridge_leadership._terms import Holder, Term, select_terms
 
+CLAIM_TIMEOUT_S = 0.5  # a slow store answers within it; a longer wait delays a provisional leader
 READ_WAIT_S = 1.0  # bounds how long a silent connection hides a new term
 RETRY_S = 0.2
 
 
+class ClaimResult(Enum):
+    """Name what became of an append of terms."""
+
+    WON = auto()
+    CONFLICT = auto()
+    UNREACHABLE = auto()
+
+
 class Leadership:
     """Follow the log of terms and append to it.
 
@@ -22,7 +32,6 @@
 
     def __init__(self, store: TermStore, on_error: Callable[[StoreError], None]) -> None:
         self.changed = Notifier()
-        self.reachable = False
         self._store = store
         self._on_error = on_error
         self._terms: dict[str, Term] = {}
@@ -42,31 +51,40 @@
         while True:
             try:
                 self._accept(await self._read())
-                self.reachable = True
             except StoreError as error:
-                self.reachable = False
                 self._end = None
                 self._on_error(error)
                 await anyio.sleep(RETRY_S)
 
-    async def claim(self, domains: tuple[str, ...], holder: Holder) -> bool:
-        """Append terms that name a holder; return whether they are in force now.
+    def learn(self, terms: Iterable[Term]) -> None:
+        """Take terms that another host knows, or a provisional one of this host."""
+        newest = select_terms(self._terms, terms)
+        if newest != self._terms:
+            self._terms = newest
+            self.changed.notify()
+
+    async def claim(self, domains: tuple[str, ...], holder: Holder) -> ClaimResult:
+        """Append terms that name a holder.
 
         After an unanswered append the log decides: ``follow`` finds the records if they stand.
         """
-        if self._end is None or not domains:
-            return False
+        if self._end is None:
+            return ClaimResult.UNREACHABLE
         try:
-            result = await self._store.append(domains, holder, self._end)
+            with anyio.fail_after(CLAIM_TIMEOUT_S):
+                result = await self._store.append(domains, holder, self._end)
+        except TimeoutError:
+            self._on_error(StoreError("append of a term timed out"))
+            return ClaimResult.UNREACHABLE
         except StoreError as error:
             self._on_error(error)
-            return False
+            return ClaimResult.UNREACHABLE
         match result:
             case Appended(terms=terms, end=end):
                 self._accept(TermsRead(terms, end))
-                return True
+                return ClaimResult.WON
             case Conflict():
-                return False
+                return ClaimResult.CONFLICT
 
     async def _read(self) -> TermsRead:
         if self._end is None:
@@ -76,7 +94,6 @@
     def _accept(self, read: TermsRead) -> None:
         first = self._end is None
         self._end = max(self._end or 0, read.end)
-        newest = select_terms(self._terms, read.terms)
-        if newest != self._terms or first:
-            self._terms = newest
+        self.learn(read.terms)
+        if first:
             self.changed.notify()
--- a/packages/placement/src/fireflybridge_placement/__init__.py
+++ b/packages/placement/src/fireflybridge_placement/__init__.py
@@ -10,7 +10,7 @@
     record_silence,
     record_success,
 )
-from fireflybridge_placement._order import compute_objective_ms, compute_rank
+from fireflybridge_placement._order import compute_chain_ms, compute_objective_ms, compute_rank
 
 __all__ = [
     "RETRY_AFTER_S",
@@ -19,6 +19,7 @@
     "Estimates",
     "Health",
     "choose_upstream",
+    "compute_chain_ms",
     "compute_objective_ms",
     "compute_rank",
     "compute_refusal_time",
