Let a lease end while its upstream is silent, and add a stand-in for the platform

Cause: each hold without an answer moved the expected end of the lease on, so the tasks of a silent upstream waited for their job's deadline (features/site.feature, "The tasks of a silent upstream start again": 504 before, passes now). A host that leads says that it is ready once it knows the runs of an upstream. A resubmitted job that can't be settled before its deadline is given up at once.

--- /dev/null
+++ b/features/site.feature
@@ -0,0 +1,116 @@
+Feature: Hosts on the users' platform
+  Real hosts dispatch through the adapter against a stand-in for the platform's log and upstreams.
+
+  Scenario: Jobs are answered at every host, each task started once
+    Given hosts on a site
+    When 6 jobs of 4 tasks are submitted to each host in turn
+    Then every job is answered 200 "succeeded"
+    And each of 24 tasks was started once
+    And one host leads every zone
+
+  Scenario: A leader that is stopped hands its runs over
+    # Guards against runs cut off, or started a second time, by a planned stop of the leader.
+    Given hosts on a site whose tasks take 600 ms
+    When a job of 4 tasks is submitted to each host
+    And 4 runs or more are under way
+    And the leader is terminated
+    Then every job is answered 200 "succeeded"
+    And each of 12 tasks was started once
+    And another host leads every zone
+
+  Scenario: A killed leader is replaced, and no task runs beside its own earlier run
+    # Guards against a resubmitted job that is placed before the runs of the last leader are known.
+    Given hosts on a site whose tasks take 600 ms
+    When a job of 4 tasks is submitted to each host
+    And 4 runs or more are under way
+    And the leader is killed
+    Then the jobs of the other hosts are answered
+    And no task ran twice at the same time
+    And a job submitted to another host is answered 200 "succeeded"
+
+  Scenario: A leader that was paused starts nothing under its old fencing token
+    Given hosts on a site
+    When the leader is paused until another host leads
+    And the paused host is resumed
+    And 4 jobs of 3 tasks are submitted to each host in turn
+    Then every job is answered 200 "succeeded"
+    And no task ran twice at the same time
+    And one host leads every zone
+
+  Scenario: Zones go on with their own upstreams while the leader and the log are away
+    # Guards against a zone that is cut off and refuses all jobs although its upstreams are idle.
+    Given hosts on a site with 2 hosts in each zone
+    When the log falls silent
+    And the leader is paused
+    Then jobs submitted to a host of each zone are answered 200 "succeeded" within 10 s
+    And the upstreams of a zone obey one host
+
+  Scenario: One host leads again after a split
+    Given hosts on a site with 2 hosts in each zone
+    When the leader is paused until another host leads
+    And the paused host is resumed
+    Then one host leads every zone within 10 s
+
+  Scenario: A start without an answer is stopped before its task starts elsewhere
+    Given hosts on a site
+    When the next start at every upstream is carried out without an answer
+    And 1 job of 3 tasks is submitted to each host in turn
+    Then every job is answered 200 "succeeded"
+    And no task ran twice at the same time
+
+  Scenario: The tasks of a silent upstream start again once its lease has ended
+    Given hosts on a site whose tasks take 400 ms
+    When a job of 4 tasks is submitted to each host
+    And 4 runs or more are under way
+    And an upstream with runs falls silent
+    Then every job is answered 200 "succeeded"
+    And no task ran twice at the same time
+
+  Scenario: An upstream that fails its runs gets no more than a few
+    Given hosts on a site
+    When an upstream fails everything it starts
+    And 8 jobs of 3 tasks are submitted to each host in turn
+    Then every job is answered 200 "succeeded"
+    And the failing upstream got fewer than a quarter of the starts
+
+  Scenario: A refused job has not run, and its caller learns when to come again
+    Given hosts on a site whose tasks take 2000 ms
+    When 8 jobs of 8 tasks are submitted to one host at once
+    Then some jobs are answered 503 with Retry-After
+    And no task of a refused job was started
+
+  Scenario: A job submitted twice at once is one job
+    Given hosts on a site whose tasks take 200 ms
+    When one job of 4 tasks is submitted to two hosts at once
+    Then every job is answered 200 "succeeded"
+    And each of 4 tasks was started once
+
+  Scenario: The runs of a caller that leaves are stopped
+    Given hosts on a site whose tasks take 5000 ms
+    When a caller leaves 300 ms after it submitted a job of 4 tasks
+    Then no run is under way
+
+  Scenario: A draining upstream gets no new work
+    Given hosts on a site
+    When an upstream drains and its entry was read
+    And 4 jobs of 4 tasks are submitted to each host in turn
+    Then every job is answered 200 "succeeded"
+    And the draining upstream got no start since
+
+  Scenario: A configuration is in force at every host, also after the log has lost its history
+    Given hosts on a site
+    When the log loses the history of "keyed.op"
+    And a configuration replaces the route by "/bookings/"
+    Then each host answers "/bookings/" with 200 and "/orders/" with 404
+
+  Scenario: Unreadable entries name no upstream
+    Given hosts on a site
+    When another writer puts entries that can't be read into the directory
+    And 3 jobs of 4 tasks are submitted to each host in turn
+    Then every job is answered 200 "succeeded"
+
+  Scenario: Settings that can't be used are named
+    When a host is started without settings
+    Then it exits with code 2 and names check "adapter.E001"
+    When a host is started with settings that lack its zone
+    Then it exits with code 2 and names check "adapter.E002"
--- /dev/null
+++ b/features/steps/site.py
@@ -0,0 +1,326 @@
+"""Steps on hosts that run on a stand-in for the users' platform."""
+
+import threading
+import time
+from pathlib import Path
+
+import httpx
+from behave import given, then, when
+from behave.runner import Context
+from support.processes import wait_until
+from support.site import SiteDeployment, count_starts, find_overlaps
+
+CHANGE_LIMIT_S = 10.0
+
+
+def start_site(context: Context, **plan: int) -> None:
+    context.deployment = SiteDeployment(context.processes, **plan)
+    context.add_cleanup(context.deployment.close)
+    context.deployment.start()
+    context.jobs = []
+    context.leader = context.deployment.find_leader()
+    wait_until(lambda: one_leads(context), detail="one host leads every zone")
+
+
+def one_leads(context: Context) -> bool:
+    leaders = context.deployment.control("state")["leaders"]
+    return len(leaders) == context.deployment.zones and len(set(leaders.values())) == 1
+
+
+def list_live(context: Context) -> list[dict[str, object]]:
+    return [run for run in context.deployment.list_runs() if not run["how"]]
+
+
+def other_hosts(context: Context) -> list[str]:
+    return [name for name in context.deployment.hosts if name != context.leader]
+
+
+@given("hosts on a site")
+def _(context: Context) -> None:
+    start_site(context)
+
+
+@given("hosts on a site whose tasks take {work_ms:d} ms")
+def _(context: Context, work_ms: int) -> None:
+    start_site(context, work_ms=work_ms)
+
+
+@given("hosts on a site with {hosts:d} hosts in each zone")
+def _(context: Context, hosts: int) -> None:
+    start_site(context, hosts_per_zone=hosts)
+
+
+@when("{jobs:d} jobs of {tasks:d} tasks are submitted to each host in turn")
+@when("{jobs:d} job of {tasks:d} tasks is submitted to each host in turn")
+def _(context: Context, jobs: int, tasks: int) -> None:
+    hosts = list(context.deployment.hosts)
+    for index in range(jobs):
+        host = hosts[index % len(hosts)]
+        answer = context.deployment.submit_later(host, tasks)
+        answer.result()
+        context.jobs.append((host, answer))
+
+
+@when("a job of {tasks:d} tasks is submitted to each host")
+def _(context: Context, tasks: int) -> None:
+    for host in context.deployment.hosts:
+        context.jobs.append((host, context.deployment.submit_later(host, tasks)))
+
+
+@when("{jobs:d} jobs of {tasks:d} tasks are submitted to one host at once")
+def _(context: Context, jobs: int, tasks: int) -> None:
+    context.ids = [f"{index:016x}" for index in range(jobs)]
+    context.jobs = [
+        ("h1", context.deployment.submit_later("h1", tasks, job)) for job in context.ids
+    ]
+
+
+@when("one job of {tasks:d} tasks is submitted to two hosts at once")
+def _(context: Context, tasks: int) -> None:
+    job = "00000000000000aa"
+    context.jobs = [
+        (host, context.deployment.submit_later(host, tasks, job)) for host in ("h1", "h2")
+    ]
+
+
+@when("a caller leaves {after_ms:d} ms after it submitted a job of {tasks:d} tasks")
+def _(context: Context, after_ms: int, tasks: int) -> None:
+    deployment = context.deployment
+    caller = threading.Thread(target=deployment.submit, args=("h1", tasks, "", after_ms / 1000))
+    caller.start()
+    wait_until(lambda: list_live(context), detail="a run under way")
+    caller.join()
+
+
+@when("{runs:d} runs or more are under way")
+def _(context: Context, runs: int) -> None:
+    wait_until(lambda: len(list_live(context)) >= runs, detail=f"{runs} runs under way")
+
+
+@when("the leader is terminated")
+def _(context: Context) -> None:
+    context.deployment.hosts[context.leader].terminate()
+
+
+@when("the leader is killed")
+def _(context: Context) -> None:
+    context.deployment.hosts[context.leader].kill()
+
+
+@when("the leader is paused")
+def _(context: Context) -> None:
+    context.deployment.hosts[context.leader].pause()
+
+
+@when("the leader is paused until another host leads")
+def _(context: Context) -> None:
+    deployment = context.deployment
+    deployment.hosts[context.leader].pause()
+    zones = [f"z{index}" for index in range(2, deployment.zones + 1)]
+    wait_until(
+        lambda: all(deployment.find_leader(zone) != context.leader for zone in zones),
+        detail="another host leads",
+    )
+
+
+@when("the paused host is resumed")
+def _(context: Context) -> None:
+    context.deployment.hosts[context.leader].resume()
+    wait_until(lambda: one_leads(context), detail="one host leads every zone")
+
+
+@when("the log falls silent")
+def _(context: Context) -> None:
+    # Every host has read the directory by now, as one that is cut off later has.
+    for host in context.deployment.hosts:
+        wait_until(lambda host=host: context.deployment.is_ready(host), detail=host)
+    context.deployment.control("store", {"silent": True})
+
+
+@when("the next start at every upstream is carried out without an answer")
+def _(context: Context) -> None:
+    for name in context.deployment.control("state")["fences"]:
+        context.deployment.control(f"upstreams/{name}", {"lost_answers": 1})
+
+
+@when("an upstream with runs falls silent")
+def _(context: Context) -> None:
+    upstream = list_live(context)[0]["upstream"]
+    context.deployment.control(f"upstreams/{upstream}", {"mute": True})
+
+
+@when("an upstream fails everything it starts")
+def _(context: Context) -> None:
+    context.deployment.control("upstreams/u-z1-0", {"fails": True})
+
+
+@when("an upstream drains and its entry was read")
+def _(context: Context) -> None:
+    context.deployment.control("upstreams/u-z2-0", {"state": "draining"})
+    # The bound of the platform's pages: no start later than two seconds after the report.
+    time.sleep(2)
+    context.since_s = time.monotonic()
+
+
+@when('the log loses the history of "{topic}"')
+def _(context: Context, topic: str) -> None:
+    context.deployment.control(f"forget/{topic}")
+
+
+@when('a configuration replaces the route by "{prefix}"')
+def _(context: Context, prefix: str) -> None:
+    context.deployment.configure({"bookings": prefix})
+
+
+@when("another writer puts entries that can't be read into the directory")
+def _(context: Context) -> None:
+    entries = {"x1": {"service": 7}, "x2": {}, "x3": {"state": "asleep", "addr": "nowhere"}}
+    for key, entry in entries.items():
+        context.deployment.control(f"put/keyed.servers/{key}", entry)
+
+
+@when("a host is started without settings")
+def _(context: Context) -> None:
+    context.host = context.processes.spawn(
+        "fireflybridge_adapter", environment={"FIREFLYBRIDGE_SETTINGS": "/nonexistent"}
+    )
+    context.host.wait_exit()
+    context.host = context.processes.spawn("fireflybridge_adapter", environment={})
+
+
+@when("a host is started with settings that lack its zone")
+def _(context: Context) -> None:
+    path = Path(context.processes.directory, "host.conf")
+    path.write_text("node_name=h1\nip=127.0.0.1\n")
+    context.host = context.processes.spawn(
+        "fireflybridge_adapter", environment={"FIREFLYBRIDGE_SETTINGS": str(path)}
+    )
+
+
+@then('it exits with code {code:d} and names check "{check}"')
+def _(context: Context, code: int, check: str) -> None:
+    assert context.host.wait_exit() == code
+    assert check in context.host.read_stderr(), context.host.read_stderr()
+
+
+@then('every job is answered {status:d} "{state}"')
+def _(context: Context, status: int, state: str) -> None:
+    answers = [(host, answer.result()) for host, answer in context.jobs]
+    wrong = [(host, a) for host, a in answers if (a.status, a.state) != (status, state)]
+    assert not wrong, wrong
+
+
+@then("the jobs of the other hosts are answered")
+def _(context: Context) -> None:
+    answers = [(host, answer.result()) for host, answer in context.jobs]
+    lost = [host for host, answer in answers if host != context.leader and not answer.status]
+    assert not lost, lost
+
+
+@then('a job submitted to another host is answered {status:d} "{state}"')
+def _(context: Context, status: int, state: str) -> None:
+    host = other_hosts(context)[0]
+    wait_until(
+        lambda: context.deployment.submit(host, 2).state == state,
+        CHANGE_LIMIT_S,
+        f"a job at {host}",
+    )
+
+
+@then(
+    'jobs submitted to a host of each zone are answered {status:d} "{state}" within {limit_s:d} s'
+)
+def _(context: Context, status: int, state: str, limit_s: int) -> None:
+    zones = {context.deployment.find_zone(host): host for host in other_hosts(context)}
+    for host in zones.values():
+        wait_until(
+            lambda host=host: context.deployment.submit(host, 2).state == state,
+            limit_s,
+            f"a job at {host}",
+        )
+
+
+@then("the upstreams of a zone obey one host")
+def _(context: Context) -> None:
+    fences = context.deployment.control("state")["fences"]
+    by_zone = {name.split("-")[1]: set[int]() for name in fences}
+    for name, fence in fences.items():
+        by_zone[name.split("-")[1]].add(fence)
+    assert all(len(found) == 1 for found in by_zone.values()), fences
+
+
+@then("each of {tasks:d} tasks was started once")
+def _(context: Context, tasks: int) -> None:
+    starts = count_starts(context.deployment.list_runs())
+    assert len(starts) == tasks, starts
+    assert set(starts.values()) == {1}, starts
+
+
+@then("no task ran twice at the same time")
+def _(context: Context) -> None:
+    overlaps = find_overlaps(context.deployment.list_runs())
+    assert not overlaps, overlaps
+
+
+@then("one host leads every zone")
+def _(context: Context) -> None:
+    assert one_leads(context), context.deployment.control("state")["leaders"]
+
+
+@then("one host leads every zone within {limit_s:d} s")
+def _(context: Context, limit_s: int) -> None:
+    wait_until(lambda: one_leads(context), limit_s, "one host leads every zone")
+
+
+@then("another host leads every zone")
+def _(context: Context) -> None:
+    leaders = set(context.deployment.control("state")["leaders"].values())
+    assert len(leaders) == 1, leaders
+    assert context.leader not in leaders, leaders
+
+
+@then("the failing upstream got fewer than a quarter of the starts")
+def _(context: Context) -> None:
+    runs = context.deployment.list_runs()
+    failing = [run for run in runs if run["upstream"] == "u-z1-0"]
+    assert len(failing) * 4 < len(runs), (len(failing), len(runs))
+
+
+@then("some jobs are answered 503 with Retry-After")
+def _(context: Context) -> None:
+    answers = [answer.result() for _, answer in context.jobs]
+    refused = [answer for answer in answers if answer.status == 503]
+    assert refused, answers
+    assert all(answer.retry_after for answer in refused), refused
+
+
+@then("no task of a refused job was started")
+def _(context: Context) -> None:
+    pairs = zip(context.ids, context.jobs, strict=True)
+    refused = {job for job, (_, answer) in pairs if answer.result().status == 503}
+    started = {task.split(".")[0] for task in count_starts(context.deployment.list_runs())}
+    assert not refused & started, refused & started
+
+
+@then("no run is under way")
+def _(context: Context) -> None:
+    wait_until(lambda: not list_live(context), detail="all runs stopped")
+
+
+@then("the draining upstream got no start since")
+def _(context: Context) -> None:
+    runs = context.deployment.list_runs()
+    late = [r for r in runs if r["upstream"] == "u-z2-0" and r["started_s"] > context.since_s]
+    assert not late, late
+
+
+@then('each host answers "{present}" with 200 and "{absent}" with 404')
+def _(context: Context, present: str, absent: str) -> None:
+    for host in context.deployment.hosts:
+        wait_until(lambda host=host: ask_queue(context, host, present) == 200, detail=host)
+        assert ask_queue(context, host, absent) == 404, host
+
+
+def ask_queue(context: Context, host: str, prefix: str) -> int:
+    url = f"http://{context.deployment.find_ip(host)}:8161{prefix}"
+    return httpx.get(url, headers={"host": "desk.example"}, timeout=5).status_code
--- a/features/support/processes.py
+++ b/features/support/processes.py
@@ -99,6 +99,11 @@
         self.programs: list[Program] = []
         self._directory = tempfile.TemporaryDirectory()
 
+    @property
+    def directory(self) -> str:
+        """Return a folder that is deleted with the scenario."""
+        return self._directory.name
+
     def start(
         self,
         module: str,
--- /dev/null
+++ b/features/support/site.py
@@ -0,0 +1,188 @@
+"""Start hosts on a stand-in for the users' platform, and submit jobs to them."""
+
+import json
+import os
+import tempfile
+import uuid
+from collections import Counter
+from collections.abc import Iterator
+from concurrent.futures import Future, ThreadPoolExecutor
+from dataclasses import dataclass, field
+from itertools import combinations, count
+from pathlib import Path
+from typing import Any
+
+import httpx
+
+from support.processes import Processes, Program, wait_until
+
+TASK = {"cpu": 6800, "mem_mb": 64, "estimate_ms": 50}
+TIMEOUT_MS = 3000
+_networks = count(1)
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """Hold what a caller got; status 0 means that the connection ended without an answer."""
+
+    status: int
+    state: str = ""
+    retry_after: str = ""
+
+
+@dataclass(slots=True)
+class SiteDeployment:
+    """Own the stand-in and the hosts of one scenario; host ``h1`` is in zone ``z1`` and so on."""
+
+    processes: Processes
+    zones: int = 3
+    hosts_per_zone: int = 1
+    upstreams: int = 2
+    work_ms: int = 50
+    site: Program = field(init=False)
+    hosts: dict[str, Program] = field(default_factory=dict)
+    version: int = 0
+    _directory: tempfile.TemporaryDirectory[str] = field(
+        default_factory=tempfile.TemporaryDirectory
+    )
+    _network: str = field(default_factory=lambda: f"127.{10 + os.getpid() % 200}.{next(_networks)}")
+    _callers: ThreadPoolExecutor = field(default_factory=lambda: ThreadPoolExecutor(64))
+
+    def start(self) -> None:
+        """Start everything and wait until every host is ready."""
+        self.site = self.processes.start(
+            "fireflybridge_standins.site",
+            *(f"--zone=z{index}" for index in range(1, self.zones + 1)),
+            f"--upstreams={self.upstreams}",
+            f"--work-ms={self.work_ms}",
+        )
+        self.configure({"orders": "/orders/"})
+        for index in range(self.zones * self.hosts_per_zone):
+            self.start_host(f"h{index + 1}")
+        for name in self.hosts:
+            wait_until(lambda name=name: self.is_ready(name), detail=f"{name} is ready")
+
+    def start_host(self, name: str) -> None:
+        """Start a host, or start it again under its name."""
+        path = Path(self._directory.name, f"{name}.conf")
+        path.write_text("\n".join(self._write_settings(name)))
+        self.hosts[name] = self.processes.spawn(
+            "fireflybridge_adapter", environment={"FIREFLYBRIDGE_SETTINGS": str(path)}
+        )
+
+    def find_zone(self, name: str) -> str:
+        """Return the zone of a host."""
+        return f"z{(int(name[1:]) - 1) % self.zones + 1}"
+
+    def is_ready(self, name: str) -> bool:
+        """Return whether a host says that it is ready."""
+        try:
+            url = f"http://{self.find_ip(name)}:8167/fireflybridge/ready"
+            return httpx.get(url, timeout=2).status_code == 200
+        except httpx.HTTPError:
+            return False
+
+    def configure(self, prefixes: dict[str, str], **changed: object) -> None:
+        """Put a configuration with these routes in force."""
+        self.version += 1
+        routes = [
+            {
+                "name": name,
+                "host": "desk.example",
+                "path_prefix": prefix,
+                "type": "non_idempotent",
+                "timeout_ms": TIMEOUT_MS,
+                "target_latency_ms": 1000,
+                "priority": 0,
+                "service": "desk",
+                "max_attempts": 3,
+                "stretch": 1.6,
+                **changed,
+            }
+            for name, prefix in prefixes.items()
+        ]
+        self.control("put/keyed.op/config", {"version": self.version, "routes": routes})
+
+    def control(self, path: str, body: dict[str, Any] | None = None) -> dict[str, Any]:
+        """Call the stand-in's control port."""
+        url = f"http://{self.site.address}/control/{path}"
+        response = httpx.post(url, json=body or {}, timeout=10)
+        assert response.status_code == 200, f"{path}: {response.status_code}"
+        return dict(response.json())
+
+    def find_leader(self, zone: str = "z1") -> str:
+        """Return the host that the log names as the leader of a zone."""
+        return str(self.control("state")["leaders"].get(zone, ""))
+
+    def submit(
+        self, host: str, tasks: int, job: str = "", leave_s: float = TIMEOUT_MS / 1000 + 1
+    ) -> Answer:
+        """Submit a job and return its answer, or leave without it after a time."""
+        body = {
+            "spec": "work",
+            "best_effort": True,
+            "steps": [{"count": tasks, **TASK}],
+        }
+        url = f"http://{self.find_ip(host)}:8161/orders/{job or uuid.uuid4().hex[:16]}"
+        headers = {"host": "desk.example", "x-deadline-ms": str(TIMEOUT_MS)}
+        try:
+            response = httpx.post(url, json=body, headers=headers, timeout=leave_s)
+        except httpx.HTTPError:
+            return Answer(0)
+        state = response.json()["state"] if response.status_code == 200 else ""
+        return Answer(response.status_code, state, response.headers.get("retry-after", ""))
+
+    def submit_later(self, host: str, tasks: int, job: str = "") -> "Future[Answer]":
+        """Submit a job from another thread."""
+        return self._callers.submit(self.submit, host, tasks, job)
+
+    def list_runs(self) -> list[dict[str, Any]]:
+        """Return every run that the upstreams have seen."""
+        return list(self.control("state")["runs"])
+
+    def read_events(self, host: str, event_id: int) -> list[dict[str, Any]]:
+        """Return the log lines of a host with an event id."""
+        lines = self.hosts[host].read_stdout().splitlines()
+        return [line for line in map(json.loads, lines) if line["event_id"] == event_id]
+
+    def close(self) -> None:
+        """Delete the settings files."""
+        self._callers.shutdown(wait=False, cancel_futures=True)
+        self._directory.cleanup()
+
+    def find_ip(self, name: str) -> str:
+        """Return the address of a host, without a port."""
+        return f"{self._network}.{int(name[1:])}"
+
+    def _write_settings(self, name: str) -> Iterator[str]:
+        ip = self.find_ip(name)
+        yield f"node_name={name}"
+        yield f"ip={ip}"
+        yield f"zone={self.find_zone(name)}"
+        yield from (f"zones.z{index}=region" for index in range(1, self.zones + 1))
+        yield f"listen.front={ip}:8161"
+        yield f"listen.ready={ip}:8167"
+        yield "port_range=7720,7735"
+        # The first host is the strongest, so it leads.
+        yield f"limits.cpu_share={1 / int(name[1:])}"
+        yield "limits.cores=3"
+        yield "bounds.grace_s=6"
+        yield f"platform.addr={self.site.ready['store']}"
+
+
+def find_overlaps(runs: list[dict[str, Any]]) -> list[tuple[dict[str, Any], dict[str, Any]]]:
+    """Return the pairs of runs of one task that were under way at the same time."""
+    tasks: dict[str, list[dict[str, Any]]] = {}
+    for run in runs:
+        tasks.setdefault(run["task"], []).append(run)
+    return [pair for found in tasks.values() for pair in combinations(found, 2) if _overlap(*pair)]
+
+
+def count_starts(runs: list[dict[str, Any]]) -> Counter[str]:
+    """Return how often each task was started."""
+    return Counter(run["task"] for run in runs)
+
+
+def _overlap(first: dict[str, Any], second: dict[str, Any]) -> bool:
+    earlier, later = sorted((first, second), key=lambda run: float(run["started_s"]))
+    return not earlier["how"] or later["started_s"] < earlier["ended_s"]
--- a/packages/execution/src/fireflybridge_execution/_scheduler.py
+++ b/packages/execution/src/fireflybridge_execution/_scheduler.py
@@ -90,6 +90,11 @@
         """Return how many upstreams this host gives orders to."""
         return len(self._sessions)
 
+    @property
+    def has_room(self) -> bool:
+        """Return whether the runs of any upstream are known, so that it can take work."""
+        return any(session.synced for session in self._sessions.values())
+
     async def serve(self) -> None:
         """Run the sessions until cancelled."""
         async with anyio.create_task_group() as group:
@@ -264,6 +269,8 @@
     def _place_job(self, active: ActiveJob, candidates: dict[str, Candidate], now_s: float) -> bool:
         """Place the waiting tasks of a job; return whether none is left waiting."""
         if active.resubmitted and not self._has_settled(now_s):
+            if self._settled_s > active.deadline_s and not self._leads_all():
+                active.give_answer(TimedOut("its earlier runs can't be ruled out in time"))
             return True
         if self._is_hopeless(active, now_s):
             active.give_answer(TimedOut("can't be finished before its deadline"))
--- a/packages/execution/src/fireflybridge_execution/_session.py
+++ b/packages/execution/src/fireflybridge_execution/_session.py
@@ -143,6 +143,7 @@
         self._incarnation = 0
         self._acknowledged = 0
         self._lease_end_s = 0.0
+        self._silent = False
         self._full_until_s = 0.0
         self._work = anyio.Event()
         self._orders, self._pending = anyio.create_memory_object_stream[RunKey](float("inf"))
@@ -265,13 +266,19 @@
                 await anyio.sleep(RETRY_S)
 
     def _extend_lease(self, now_s: float) -> int | None:
-        if self._clock is None:
+        """Return the new end of the lease, or None while the upstream is silent or unknown.
+
+        A call without an answer may have arrived, so a lease that each of them extends would
+        never be known to have ended.
+        """
+        if self._clock is None or self._silent:
             return None
         self._lease_end_s = now_s + LEASE_MS / 1000 * CLOCK_DRIFT
         return self._clock.estimate_ms(now_s) + LEASE_MS
 
     def _apply(self, report: RunReport, sent_s: float) -> None:
         now_s = time.monotonic()
+        self._silent = False
         if report.incarnation != self._incarnation:
             self._begin_incarnation(report.incarnation)
         self._clock = RemoteClock(report.clock_ms, now_s)
@@ -358,6 +365,7 @@
 
     def _note_silence(self, error: ExchangeError) -> None:
         now_s = time.monotonic()
+        self._silent = True
         before = self.health
         self.health = record_silence(self.health, now_s)
         self._report_ejection(before, str(error))
--- a/packages/host/src/fireflybridge_host/_host.py
+++ b/packages/host/src/fireflybridge_host/_host.py
@@ -149,6 +149,7 @@
             not self._draining
             and self._routes.configuration is not None
             and self._submitter.has_leader
+            and (self._scheduler.has_room or not self._campaign.leads)
         )
         return Response(200 if ready else 503)
 
--- a/packages/placement/src/fireflybridge_placement/_admission.py
+++ b/packages/placement/src/fireflybridge_placement/_admission.py
@@ -3,7 +3,7 @@
 from fireflybridge_jobs import Job
 from fireflybridge_placement._order import compute_objective_ms
 
-WAIT_SHARE = 0.24  # share of its objective that a job may wait before any of it is started
+WAIT_SHARE = 0.16  # share of its objective that a job may wait before any of it is started
 RETRY_AFTER_S = 1  # the shortest wait that the header can express
 
 
--- /dev/null
+++ b/standins/src/fireflybridge_standins/site/__main__.py
@@ -0,0 +1,63 @@
+"""Start the stand-in and print its addresses as one line of JSON."""
+
+import argparse
+import json
+import socket
+from functools import partial
+
+import anyio
+
+from fireflybridge_http import Handler, Server, ServerLimits
+from fireflybridge_standins.site._service import Site
+from fireflybridge_standins.site._upstream import Upstream
+
+LIMITS = ServerLimits(max_body_bytes=16 * 1024 * 1024, idle_timeout_s=3600.0)
+REGISTER_S = 1.0
+
+
+def parse_arguments() -> argparse.Namespace:
+    """Return the command line."""
+    parser = argparse.ArgumentParser(prog="fireflybridge_standins.site")
+    parser.add_argument("--zone", action="append", required=True, help="a failure domain's name")
+    parser.add_argument("--upstreams", type=int, default=2, help="upstreams in each zone")
+    parser.add_argument("--work-ms", type=float, default=50.0, help="time that a task takes")
+    return parser.parse_args()
+
+
+def find_address() -> str:
+    """Return a free address on the loopback interface."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        return "{}:{}".format(*listener.getsockname())
+
+
+async def run(arguments: argparse.Namespace) -> None:
+    """Serve until the process is ended."""
+    site = Site()
+    async with anyio.create_task_group() as group:
+
+        def serve(handler: Handler) -> str:
+            address = find_address()
+            group.start_soon(Server(address, handler, LIMITS).serve, group)
+            return address
+
+        for zone in arguments.zone:
+            for index in range(arguments.upstreams):
+                upstream = Upstream(f"u-{zone}-{index}", zone, group)
+                upstream.behaviour.work_s = arguments.work_ms / 1000
+                site.upstreams[upstream.id] = upstream
+                upstream.address = serve(partial(site.handle_upstream, upstream.id))
+                site.register(upstream)
+        ready = {
+            "ready": True,
+            "address": serve(site.handle_control),
+            "store": serve(site.handle_store),
+        }
+        print(json.dumps(ready), flush=True)
+        while True:
+            await anyio.sleep(REGISTER_S)
+            for upstream in site.upstreams.values():
+                site.register(upstream)
+
+
+if __name__ == "__main__":
+    anyio.run(run, parse_arguments())
