--- /dev/null
+++ b/features/decisions.feature
@@ -0,0 +1,53 @@
+Feature: Decisions of a leader
+  Plain functions over frozen data, each checked against the load pattern that it answers.
+
+  Scenario: Long tasks take the fast upstream and short ones leave it free
+    Given upstreams of speed 0.6, 1.0 and 1.6 with room
+    Then a task of 760 ms goes to the upstream of speed 1.6
+    And a task of 50 ms goes to the upstream of speed 1.0
+
+  Scenario: A task never goes where it doesn't fit, failed before or lacks its label
+    Given upstreams of speed 0.6, 1.0 and 1.6 with room
+    When the upstream of speed 1.6 has no room
+    Then a task of 760 ms goes to the upstream of speed 1.0
+    When the task has failed on the upstream of speed 1.0
+    Then a task of 760 ms goes to the upstream of speed 0.6
+    When the task requires label "x"
+    Then a task of 760 ms goes nowhere
+
+  Scenario: Tasks go to the rack of their data
+    Given upstreams of speed 0.6, 1.0 and 1.6 with room
+    When the data of the task is on the rack of the upstream of speed 1.0
+    Then a task of 760 ms goes to the upstream of speed 1.0
+
+  Scenario: A job of short tasks goes ahead of a job of long ones received a little earlier
+    Then a job with a chain of 50 ms goes ahead of one of 760 ms received 100 ms earlier
+    And a job with a chain of 760 ms goes ahead of one of 50 ms received 500 ms later
+
+  Scenario: A job that can't start in time is refused well before a quarter of its objective
+    Then a job with a chain of 170 ms and a target of 60 ms is refused after at most 83 ms
+
+  Scenario: Speeds and sizes are learned from the runs that ended
+    When 40 runs with an estimate of 100 ms take 60 ms on "fast" and 160 ms on "slow"
+    Then the speed of "fast" is over twice that of "slow"
+    And one straggler of 2000 ms changes the speed of "fast" by less than a fifth
+
+  Scenario: An upstream is ejected for failures of two jobs, and admitted on probation
+    When a run of job "a" fails on an upstream
+    Then the upstream admits a run beside 1
+    When a run of job "a" fails on an upstream
+    Then the upstream admits a run beside 1
+    When a run of job "b" fails on an upstream
+    Then the upstream admits no run
+    When the ejection has ended
+    Then the upstream admits a run beside 0
+    And the upstream admits no run beside 1
+    When a run of job "c" fails on an upstream
+    Then the next ejection is twice as long
+    When a run succeeds on the upstream
+    Then the upstream admits a run beside 1
+
+  Scenario: The newest term of a failure domain is in force, in any order of arrival
+    Then of terms with tokens 2000, 1003 and 3000 in any order the one with 3000 is in force
+    And a provisional term after 2000 is newer than it and older than the next in the log
+    And 2000 provisional ranks after one term stay below the next in the log
--- a/packages/placement/src/fireflybridge_placement/_estimates.py
+++ b/packages/placement/src/fireflybridge_placement/_estimates.py
@@ -4,8 +4,7 @@
 
 SPEED_WEIGHT = 0.15  # a task's estimate is far off, so one run tells little of a speed
 ROUTE_WEIGHT = 0.02
-MIN_RATIO = 0.2
-MAX_RATIO = 3.0  # a straggler runs many times longer and tells nothing of its upstream
+MAX_ERROR = 1.0  # natural logarithm; a straggler runs many times longer for its own reasons
 
 
 class Estimates:
@@ -28,9 +27,9 @@
         expected_ms = self.expect_work_ms(route, estimate_ms)
         if expected_ms <= 0 or elapsed_ms <= 0:
             return
-        ratio = min(max(elapsed_ms / expected_ms, MIN_RATIO), MAX_RATIO)
         slowness = self._upstreams.get(upstream, 0.0)
-        error = math.log(ratio) - slowness
+        error = math.log(elapsed_ms / expected_ms) - slowness
+        error = min(max(error, -MAX_ERROR), MAX_ERROR)
         self._upstreams[upstream] = slowness + SPEED_WEIGHT * error
         self._routes[route] = self._routes.get(route, 0.0) + ROUTE_WEIGHT * error
 
