Move runs that will be late, and keep fast upstreams for long tasks

The price of a fast upstream goes from 40 to 200 ms for each unit of speed, a task that only a fast upstream can finish in time waits for one, and a run whose shown progress misses a limit that a free upstream keeps is stopped and placed there. A job that is too long before anything of it ran is refused as not run instead of answered 504. Ruled out: estimates (they show the long tasks, within 40%), waiting (27 ms).

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -4,7 +4,30 @@
   Scenario: Long tasks take the fast upstream and short ones leave it free
     Given upstreams of speed 0.6, 1.0 and 1.6 with room
     Then a task of 760 ms goes to the upstream of speed 1.6
-    And a task of 50 ms goes to the upstream of speed 1.0
+    And a task of 170 ms goes to the upstream of speed 1.0
+    And a task of 50 ms goes to the upstream of speed 0.6
+
+  Scenario: A task that only a fast upstream can finish in time waits for one
+    # Guards against long tasks that are started on a slow upstream and reach their deadline there.
+    Given upstreams of speed 0.6, 1.0 and 1.6 with room
+    When the task must be done in 1200 ms
+    And the upstream of speed 1.6 has no room
+    Then a task of 1600 ms goes nowhere
+    And a task of 760 ms goes to the upstream of speed 1.0
+
+  Scenario Outline: A run is moved if that keeps a limit which it would miss
+    # Guards against wide jobs that wait for one task on an upstream that hangs or turned slow.
+    Then a run of <work> ms at <percent> percent after <elapsed> ms with <left> ms left is <verdict>
+
+    Examples:
+      | work | percent | elapsed | left | verdict |
+      | 50   | 10      | 60      | 150  | moved   |
+      | 50   | 60      | 60      | 150  | kept    |
+      | 50   | 0       | 120     | 150  | moved   |
+      | 50   | 0       | 60      | 150  | kept    |
+      | 800  | 10      | 200     | 1300 | moved   |
+      | 800  | 10      | 200     | 700  | kept    |
+      | 800  | 1       | 30      | 1300 | kept    |
 
   Scenario: A task never goes where it doesn't fit, failed before or lacks its label
     Given upstreams of speed 0.6, 1.0 and 1.6 with room
--- a/features/steps/decisions.py
+++ b/features/steps/decisions.py
@@ -19,11 +19,14 @@
     Demand,
     Estimates,
     Health,
+    Progress,
+    TimeLimits,
     choose_upstream,
     compute_rank,
     compute_refusal_time,
     record_failure,
     record_success,
+    should_move,
 )
 
 ROOM = Resources(16000, 32768, 0)
@@ -39,6 +42,15 @@
     return f"u-{speed}"
 
 
+@then(
+    "a run of {work:d} ms at {percent:d} percent after {elapsed:d} ms with {left:d} ms left is {verdict}"
+)
+def _(context: Context, work: int, percent: int, elapsed: int, left: int, verdict: str) -> None:
+    progress = Progress(elapsed, percent, work, 1.0)
+    limits = TimeLimits(left, 3 * left, 10 * left)
+    assert should_move(progress, limits, 1.6) == (verdict == "moved")
+
+
 @given("upstreams of speed 0.6, 1.0 and 1.6 with room")
 def _(context: Context) -> None:
     context.candidates = {
@@ -59,6 +71,11 @@
     context.demand = replace(context.demand, excluded=frozenset({name_upstream(speed)}))
 
 
+@when("the task must be done in {limit_ms:d} ms")
+def _(context: Context, limit_ms: int) -> None:
+    context.demand = replace(context.demand, limit_ms=limit_ms)
+
+
 @when('the task requires label "{label}"')
 def _(context: Context, label: str) -> None:
     context.demand = replace(context.demand, required_label=label)
--- a/packages/execution/src/fireflybridge_execution/_events.py
+++ b/packages/execution/src/fireflybridge_execution/_events.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from fireflybridge_jobs import Answer, TaskId
+from fireflybridge_placement import Progress
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,6 +48,16 @@
     elapsed_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class RunMoved:
+    """Report a run that is stopped because its task would be in time elsewhere."""
+
+    task: TaskId
+    number: int
+    upstream: str
+    progress: Progress
+
+
 @dataclass(frozen=True, slots=True)
 class JobEnded:
     """Report a job's answer, after how long and how many of its runs failed."""
@@ -79,5 +90,11 @@
 
 
 ExecutionEvent = (
-    JobReceived | TasksPlaced | RunEndedBadly | JobEnded | UpstreamSynced | UpstreamDoubted
+    JobReceived
+    | TasksPlaced
+    | RunEndedBadly
+    | RunMoved
+    | JobEnded
+    | UpstreamSynced
+    | UpstreamDoubted
 )
--- a/packages/execution/src/fireflybridge_execution/_scheduler.py
+++ b/packages/execution/src/fireflybridge_execution/_scheduler.py
@@ -16,6 +16,7 @@
     JobReceived,
     Placement,
     RunEndedBadly,
+    RunMoved,
     TasksPlaced,
     UpstreamDoubted,
     UpstreamSynced,
@@ -43,16 +44,23 @@
     Candidate,
     Demand,
     Estimates,
+    Progress,
+    TimeLimits,
     choose_upstream,
     compute_chain_ms,
+    compute_objective_ms,
     compute_rank,
     compute_refusal_time,
+    should_move,
 )
 
 PLACEMENT_RETRY_S = 0.02  # re-examines pauses of upstreams while work waits
 SETTLING_S = 2.0  # a lease of an earlier leader and the adoption wait of another new one
 SKIPPED_NUMBERS = 8  # after an upstream has seen a later run of the task than this host knows
 JOBS_TRIED = 8  # waiting jobs examined once a job ahead of them found no room
+FASTEST_SHARE = 0.9  # learned speeds of equal upstreams differ by about a tenth
+NO_SPEED = 1e-6
+LATE_FACTOR = 3  # an answer later than this many objectives counts for nothing
 HOPELESS_SHARE = 0.5  # estimates are far off, so a job is given up well past its expectation
 
 
@@ -275,8 +283,7 @@
                 active.give_answer(TimedOut("its earlier runs can't be ruled out in time"))
             return True
         if self._is_hopeless(active, now_s):
-            active.give_answer(TimedOut("can't be finished before its deadline"))
-            self._dequeue(active)
+            self._give_up(active)
             return True
         tasks = [task for task in active.waiting if task not in self._live]
         placed = tuple(
@@ -289,6 +296,13 @@
         self._dequeue(active)
         return True
 
+    def _give_up(self, active: ActiveJob) -> None:
+        if active.may_have_run or active.runs:
+            active.give_answer(TimedOut("can't be finished before its deadline"))
+        else:
+            active.give_answer(NotRun(RefusalReason.TOO_LONG, RETRY_AFTER_S))
+        self._dequeue(active)
+
     def _place_task(
         self, active: ActiveJob, task: TaskId, candidates: dict[str, Candidate], now_s: float
     ) -> Placement | None:
@@ -319,7 +333,20 @@
         pool = active.job.policy.pool
         others = {name for name in candidates if self._sessions[name].info.pool != pool}
         work_ms = self._estimates.expect_work_ms(active.job.policy.route, step.estimate_ms)
-        return Demand(step.needs, work_ms, step.required_label, step.data_rack, excluded | others)
+        left_ms = (active.deadline_s - time.monotonic()) * 1000
+        return Demand(
+            step.needs,
+            work_ms,
+            step.required_label,
+            step.data_rack,
+            max(left_ms, work_ms / self._find_fastest()),
+            excluded | others,
+        )
+
+    def _find_fastest(self) -> float:
+        """Return a speed that the fastest upstreams reach."""
+        speeds = map(self._estimates.get_speed, self._sessions)
+        return FASTEST_SHARE * max(speeds, default=1.0)
 
     def _find_full(self, active: ActiveJob, step: int, most: int) -> frozenset[str]:
         used = [placed.upstream for task, placed in active.runs.items() if task.step == step]
@@ -475,6 +502,46 @@
             return None
         return active.step_of(run.task).needs
 
+    def run_progressed(self, upstream: str, run: Run, percent: float) -> None:
+        """Stop a run whose task would be in time on a free upstream and is late where it is."""
+        active = self._find_run(upstream, run.task, run.number)
+        if active is None:
+            return
+        now_s = time.monotonic()
+        progress = Progress(
+            (now_s - run.placed_s) * 1000,
+            percent,
+            self._estimates.expect_work_ms(
+                active.job.policy.route, active.step_of(run.task).estimate_ms
+            ),
+            self._estimates.get_speed(upstream),
+        )
+        if should_move(progress, self._limit(active, now_s), self._find_free_speed(run, now_s)):
+            self._on_event(RunMoved(run.task, run.number, upstream, progress))
+            self._sessions[upstream].stop(run.task, run.number)
+
+    def _limit(self, active: ActiveJob, now_s: float) -> TimeLimits:
+        age_ms = (now_s - active.received_s) * 1000
+        objective_ms = compute_objective_ms(active.job, self._expect_chain_ms(active.job))
+        return TimeLimits(
+            objective_ms - age_ms,
+            LATE_FACTOR * objective_ms - age_ms,
+            (active.deadline_s - now_s) * 1000,
+        )
+
+    def _find_free_speed(self, run: Run, now_s: float) -> float:
+        """Return the speed of the fastest other upstream with room for a run, or nearly none."""
+        return max(
+            (
+                self._estimates.get_speed(session.info.id)
+                for session in self._sessions.values()
+                if session.admits(now_s)
+                and run.needs.fits_in(session.room)
+                and (run.task, run.number) not in session
+            ),
+            default=NO_SPEED,
+        )
+
     def found_ended(self, upstream: str, run: EndedRun) -> None:
         """Finish a task whose run an earlier leader started."""
         active = self._jobs.get(run.task.job)
--- a/packages/execution/src/fireflybridge_execution/_session.py
+++ b/packages/execution/src/fireflybridge_execution/_session.py
@@ -41,7 +41,7 @@
 )
 
 LEASE_MS = 800  # outlives three missed holds; ends before a caller sends a lost job again
-HOLD_WAIT_MS = 200
+HOLD_WAIT_MS = 120  # also the age of what is known of a run's progress
 HOLD_SLACK_S = 0.2  # round trip to a loaded upstream
 ORDER_TIMEOUT_S = 0.2
 RETRY_S = 0.05
@@ -102,6 +102,9 @@
     def found_running(self, upstream: str, run: RunningRun) -> Resources | None:
         """Return what a run of an earlier leader needs if its job is known here."""
 
+    def run_progressed(self, upstream: str, run: Run, percent: float) -> None:
+        """Take note of how much of a run's work is done."""
+
     def found_ended(self, upstream: str, run: EndedRun) -> None:
         """Take note of an end of a run that this host did not start."""
 
@@ -160,6 +163,10 @@
         """Return how many runs may be alive."""
         return len(self._runs) + len(self._foreign)
 
+    def __contains__(self, key: RunKey) -> bool:
+        """Return whether a run may be alive here."""
+        return key in self._runs
+
     def admits(self, now_s: float) -> bool:
         """Return whether the upstream may get a run now."""
         return (
@@ -299,6 +306,13 @@
             self._listener.upstream_synced(self.info.id, self._incarnation, len(listed))
         self._full_until_s = 0.0
         self._listener.room_changed()
+        self._report_progress(listed)
+
+    def _report_progress(self, listed: dict[RunKey, RunningRun]) -> None:
+        for key, found in listed.items():
+            run = self._runs.get(key)
+            if run is not None and run.phase is Phase.RUNNING:
+                self._listener.run_progressed(self.info.id, run, found.percent)
 
     def _begin_incarnation(self, incarnation: int) -> None:
         if self._incarnation:
--- a/packages/host/src/fireflybridge_host/_journal.py
+++ b/packages/host/src/fireflybridge_host/_journal.py
@@ -11,6 +11,7 @@
     JobEnded,
     JobReceived,
     RunEndedBadly,
+    RunMoved,
     TasksPlaced,
     UpstreamDoubted,
     UpstreamSynced,
@@ -77,6 +78,8 @@
                     ending=event.ending,
                     elapsed_ms=round(event.elapsed_ms),
                 )
+            case RunMoved():
+                self._record_move(event)
             case JobEnded():
                 self._record_end(event)
             case UpstreamSynced():
@@ -197,6 +200,20 @@
             ],
         )
 
+    def _record_move(self, event: RunMoved) -> None:
+        self._log.info(
+            "run moved",
+            event_id=7106,
+            job=event.task.job,
+            task=_format_task(event.task),
+            run=event.number,
+            upstream=event.upstream,
+            elapsed_ms=round(event.progress.elapsed_ms),
+            percent=event.progress.percent,
+            expected_work_ms=round(event.progress.expected_work_ms),
+            speed=round(event.progress.speed, 2),
+        )
+
     def _record_end(self, event: JobEnded) -> None:
         outcome = _describe(event.answer)
         self.tallies.failed_runs += event.failed_runs
--- a/packages/jobs/src/fireflybridge_jobs/_answers.py
+++ b/packages/jobs/src/fireflybridge_jobs/_answers.py
@@ -10,6 +10,7 @@
     NO_LEADER = "no-leader"
     NO_ROOM = "no-room"
     NO_UPSTREAM = "no-upstream"
+    TOO_LONG = "too-long"
     UNSUPPORTED = "unsupported"
     DRAINING = "draining"
 
--- a/packages/placement/src/fireflybridge_placement/__init__.py
+++ b/packages/placement/src/fireflybridge_placement/__init__.py
@@ -10,6 +10,7 @@
     record_silence,
     record_success,
 )
+from fireflybridge_placement._moves import Progress, TimeLimits, should_move
 from fireflybridge_placement._order import compute_chain_ms, compute_objective_ms, compute_rank
 
 __all__ = [
@@ -18,6 +19,8 @@
     "Demand",
     "Estimates",
     "Health",
+    "Progress",
+    "TimeLimits",
     "choose_upstream",
     "compute_chain_ms",
     "compute_objective_ms",
@@ -27,4 +30,5 @@
     "record_refusal",
     "record_silence",
     "record_success",
+    "should_move",
 ]
--- a/packages/placement/src/fireflybridge_placement/_choice.py
+++ b/packages/placement/src/fireflybridge_placement/_choice.py
@@ -2,10 +2,11 @@
 
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass
+from math import inf
 
 from fireflybridge_jobs import Resources
 
-RESERVE_MS = 40.0  # price of one unit of speed; keeps fast upstreams for long tasks
+RESERVE_MS = 200.0  # price of one unit of speed; keeps fast upstreams for long tasks
 REMOTE_DATA_FACTOR = 3.0  # how much longer a task takes off the rack of its data
 CPU_PRICE_MS = 0.0002  # for each free thousandth of a core left over; fills upstreams up
 
@@ -28,6 +29,8 @@
     work_ms: float
     required_label: str = ""
     data_rack: str = ""
+    limit_ms: float = inf
+    """Time in which the task must be done; upstreams that are too slow for it are passed over."""
     excluded: frozenset[str] = frozenset()
 
 
@@ -35,7 +38,8 @@
     """Return the id of the upstream with the lowest cost in time, or None if none has room.
 
     Answers a mix of long and short tasks on upstreams of different speeds: long tasks gain most
-    from a fast upstream, so short ones leave it free unless nothing else would be in time.
+    from a fast upstream, so short ones leave it free unless nothing else would be in time, and a
+    task that only a fast upstream can finish in time waits for one.
     """
     fitting = [candidate for candidate in candidates if _fits(demand, candidate)]
     if not fitting:
@@ -47,6 +51,7 @@
     return (
         demand.needs.fits_in(candidate.room)
         and candidate.id not in demand.excluded
+        and demand.work_ms / candidate.speed <= demand.limit_ms
         and _carries(candidate.labels, demand.required_label)
     )
 
