--- a/features/steps/decisions.py
+++ b/features/steps/decisions.py
@@ -54,10 +54,12 @@
 @given("upstreams of speed 0.6, 1.0 and 1.6 with room")
 def _(context: Context) -> None:
     context.candidates = {
-        name_upstream(speed): Candidate(name_upstream(speed), ROOM, speed, (f"rack-{speed}",))
+        name_upstream(speed): Candidate(
+            name_upstream(speed), "desk", ROOM, speed, (f"rack-{speed}",)
+        )
         for speed in (0.6, 1.0, 1.6)
     }
-    context.demand = Demand(NEEDS, 0)
+    context.demand = Demand("desk", NEEDS, 0)
 
 
 @when("the upstream of speed {speed:f} has no room")
--- a/features/support/site.py
+++ b/features/support/site.py
@@ -18,7 +18,8 @@
 
 TASK = {"cpu": 6800, "mem_mb": 64, "estimate_ms": 50}
 TIMEOUT_MS = 3000
-_networks = count(1)
+HOSTS_EACH = 8
+_deployments = count()
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,7 +46,8 @@
     _directory: tempfile.TemporaryDirectory[str] = field(
         default_factory=tempfile.TemporaryDirectory
     )
-    _network: str = field(default_factory=lambda: f"127.{10 + os.getpid() % 200}.{next(_networks)}")
+    _network: str = field(default_factory=lambda: choose_network(os.getpid()))
+    _first_host: int = field(default_factory=lambda: next(_deployments) * HOSTS_EACH % 240)
     _callers: ThreadPoolExecutor = field(default_factory=lambda: ThreadPoolExecutor(64))
 
     def start(self) -> None:
@@ -152,7 +154,7 @@
 
     def find_ip(self, name: str) -> str:
         """Return the address of a host, without a port."""
-        return f"{self._network}.{int(name[1:])}"
+        return f"{self._network}.{self._first_host + int(name[1:])}"
 
     def _write_settings(self, name: str) -> Iterator[str]:
         ip = self.find_ip(name)
@@ -170,6 +172,15 @@
         yield f"platform.addr={self.site.ready['store']}"
 
 
+def choose_network(pid: int) -> str:
+    """Return the first three parts of loopback addresses that no other test process uses.
+
+    Two processes whose ids were equal modulo 200 once shared theirs, and the hosts of one could
+    not listen.
+    """
+    return f"127.{1 + pid // 256 % 254}.{pid % 256}"
+
+
 def find_overlaps(runs: list[dict[str, Any]]) -> list[tuple[dict[str, Any], dict[str, Any]]]:
     """Return the pairs of runs of one task that were under way at the same time."""
     tasks: dict[str, list[dict[str, Any]]] = {}
--- a/packages/execution/src/fireflybridge_execution/_active_job.py
+++ b/packages/execution/src/fireflybridge_execution/_active_job.py
@@ -56,6 +56,15 @@
         self.offered.set()
         return number
 
+    def has_run(self, task: TaskId, upstream: str, number: int) -> bool:
+        """Return whether a run is the current one of its task."""
+        return self.runs.get(task) == PlacedRun(upstream, number)
+
+    def find_full(self, step: int, most: int) -> frozenset[str]:
+        """Return the upstreams that run as many tasks of a step as they may."""
+        used = [placed.upstream for task, placed in self.runs.items() if task.step == step]
+        return frozenset(name for name in used if used.count(name) >= most)
+
     def adopt(self, task: TaskId, upstream: str, number: int) -> bool:
         """Record a run that an earlier leader started; return whether the task has no other."""
         if task in self._done or task in self.runs or task not in self.waiting:
@@ -99,12 +108,13 @@
         if not any(self._remaining):
             self.give_answer(Succeeded())
 
-    def give_answer(self, answer: Answer) -> None:
-        """Set the job's answer, unless it has one."""
+    def give_answer(self, answer: Answer) -> Answer:
+        """Set the job's answer, unless it has one; return the one that it has then."""
         if self.answer is None:
             self.answer = answer
             self.answered.set()
             self.offered.set()
+        return self.answer
 
     def _release_steps(self) -> None:
         ready = [
--- /dev/null
+++ b/packages/execution/src/fireflybridge_execution/_roster.py
@@ -0,0 +1,139 @@
+"""Sessions with the upstreams of the failure domains that this host leads."""
+
+import time
+from collections.abc import Callable, Iterable, Iterator, Mapping
+
+import anyio
+from anyio.abc import TaskGroup
+
+from fireflybridge_execution._live_runs import LiveRuns
+from fireflybridge_execution._orders import OrderConnector
+from fireflybridge_execution._run_book import Run
+from fireflybridge_execution._run_listener import RunListener
+from fireflybridge_execution._session import UpstreamSession
+from fireflybridge_jobs import Resources, UpstreamInfo
+
+SETTLING_S = 2.0  # a lease of an earlier leader and the adoption wait of another new one
+
+
+class SessionRoster:
+    """Open a session for each upstream that is led, and retire it when it is led no more."""
+
+    def __init__(
+        self,
+        connector: OrderConnector,
+        listener: RunListener,
+        failure_domains: Iterable[str],
+        on_lost: Callable[[str, Run], None],
+    ) -> None:
+        """Report the runs of retired sessions to ``on_lost`` once they can't be alive."""
+        self.live = LiveRuns()
+        self._connector = connector
+        self._listener = listener
+        self._domains = frozenset(failure_domains)
+        self._on_lost = on_lost
+        self._fences: Mapping[str, int] = {}
+        self._upstreams: Mapping[str, UpstreamInfo] = {}
+        self._sessions: dict[str, UpstreamSession] = {}
+        self._settled_s = 0.0
+        self._group: TaskGroup | None = None
+
+    def __iter__(self) -> Iterator[UpstreamSession]:
+        """Return the open sessions."""
+        return iter(self._sessions.values())
+
+    def find(self, upstream: str) -> UpstreamSession | None:
+        """Return the session with an upstream, if one is open."""
+        return self._sessions.get(upstream)
+
+    def list_admitting(self, now_s: float, needs: Resources) -> list[UpstreamSession]:
+        """Return the sessions whose upstream may get a run of this size now."""
+        return [
+            session
+            for session in self._sessions.values()
+            if session.admits(now_s) and needs.fits_in(session.room)
+        ]
+
+    @property
+    def has_synced(self) -> bool:
+        """Return whether the runs of any upstream are known."""
+        return any(session.synced for session in self)
+
+    @property
+    def leads_all(self) -> bool:
+        """Return whether this host leads every failure domain."""
+        return bool(self._sessions) and self._fences.keys() >= self._domains
+
+    @property
+    def settled_s(self) -> float:
+        """Return when no run of an earlier leader can be alive any more."""
+        return self._settled_s
+
+    def has_settled(self, now_s: float) -> bool:
+        """Return whether no run of an earlier leader can be alive without this host's knowledge.
+
+        Upstreams of other failure domains may run tasks of the job under their own leader, so a
+        host that doesn't lead them all waits until such runs have ended.
+        """
+        if now_s >= self._settled_s:
+            return True
+        return self.leads_all and all(session.synced for session in self)
+
+    def start(self, group: TaskGroup) -> None:
+        """Run the sessions as tasks of a group."""
+        self._group = group
+        self._reconcile()
+
+    def lead(self, fences: Mapping[str, int]) -> bool:
+        """Give orders in these failure domains; return whether that is a change."""
+        if dict(fences) == dict(self._fences):
+            return False
+        self._fences = dict(fences)
+        self._settled_s = time.monotonic() + SETTLING_S
+        self._reconcile()
+        return True
+
+    def set_upstreams(self, upstreams: Mapping[str, UpstreamInfo]) -> None:
+        """Take the newest view of the upstreams."""
+        self._upstreams = upstreams
+        self._reconcile()
+
+    def _reconcile(self) -> None:
+        wanted = {
+            upstream.id: upstream
+            for upstream in self._upstreams.values()
+            if upstream.failure_domain in self._fences
+        }
+        for name, session in list(self._sessions.items()):
+            info = wanted.get(name)
+            if info is None or not self._continues(session, info):
+                self._retire(session)
+            else:
+                session.update(info)
+        if self._group is not None:
+            for name in wanted.keys() - self._sessions.keys():
+                self._open(wanted[name], self._group)
+
+    def _continues(self, session: UpstreamSession, info: UpstreamInfo) -> bool:
+        return (
+            session.fence == self._fences[info.failure_domain]
+            and session.info.address == info.address
+            and session.info.incarnation == info.incarnation
+        )
+
+    def _open(self, info: UpstreamInfo, group: TaskGroup) -> None:
+        fence = self._fences[info.failure_domain]
+        session = UpstreamSession(info, fence, self._connector, self._listener, self.live)
+        self._sessions[info.id] = session
+        group.start_soon(session.serve)
+
+    def _retire(self, session: UpstreamSession) -> None:
+        del self._sessions[session.info.id]
+        session.close()
+        if self._group is not None:
+            self._group.start_soon(self._outwait_lease, session)
+
+    async def _outwait_lease(self, session: UpstreamSession) -> None:
+        await anyio.sleep(max(session.lease_end_s - time.monotonic(), 0))
+        for run in session.book.forget_all():
+            self._on_lost(session.info.id, run)
--- a/packages/execution/src/fireflybridge_execution/_session.py
+++ b/packages/execution/src/fireflybridge_execution/_session.py
@@ -1,10 +1,8 @@
 """Session with one upstream: its runs, its lease and the connections that carry orders."""
 
 import time
-from collections.abc import Iterable
-from dataclasses import dataclass, replace
-from enum import Enum, auto
-from typing import Protocol
+from collections.abc import Iterable, Mapping
+from dataclasses import replace
 
 import anyio
 from anyio.streams.memory import MemoryObjectReceiveStream
@@ -21,6 +19,8 @@
     Start,
     Stop,
 )
+from fireflybridge_execution._run_book import ForeignRun, Phase, Run, RunBook, RunKey
+from fireflybridge_execution._run_listener import RunListener
 from fireflybridge_http import ExchangeError
 from fireflybridge_jobs import (
     EndedRun,
@@ -50,76 +50,6 @@
 ORDER_CONNECTIONS = 3
 ACKNOWLEDGEMENT_DELAY_S = 1.0  # the next run mostly comes sooner and carries it
 
-RunKey = tuple[TaskId, int]
-
-
-class Phase(Enum):
-    """Name how far a run has come, as far as this host knows."""
-
-    QUEUED = auto()
-    STARTING = auto()
-    RUNNING = auto()
-    STOPPING = auto()
-    """A stop is on its way or was acknowledged; the end has not been listed yet."""
-
-
-@dataclass(frozen=True, slots=True)
-class Run:
-    """Hold one run of a task on this upstream; ``confirmed_s`` is when it was acknowledged."""
-
-    task: TaskId
-    number: int
-    spec: str
-    needs: Resources
-    phase: Phase
-    placed_s: float
-    confirmed_s: float | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class _Foreign:
-    """Hold a run of an earlier leader, and when it is stopped unless its job comes again."""
-
-    run: RunningRun
-    stop_s: float
-
-
-class RunListener(Protocol):
-    """Hear what becomes of the runs of a session."""
-
-    def run_accepted(self, upstream: str, run: Run) -> None:
-        """Take note that a run has started."""
-
-    def run_ended(self, upstream: str, run: Run, ending: Ending, elapsed_s: float) -> None:
-        """Take note of an end that the upstream listed."""
-
-    def run_not_started(self, upstream: str, run: Run, rejection: Rejection | None) -> None:
-        """Take note that a run was not started; no rejection means it can't be told why."""
-
-    def run_lost(self, upstream: str, run: Run) -> None:
-        """Take note that a run is no longer alive and left no end."""
-
-    def found_running(self, upstream: str, run: RunningRun) -> Resources | None:
-        """Return what a run of an earlier leader needs if its job is known here."""
-
-    def run_progressed(self, upstream: str, run: Run, percent: float) -> None:
-        """Take note of how much of a run's work is done."""
-
-    def found_ended(self, upstream: str, run: EndedRun) -> None:
-        """Take note of an end of a run that this host did not start."""
-
-    def room_changed(self) -> None:
-        """Take note that the upstream may take work again."""
-
-    def superseded(self, upstream: str) -> None:
-        """Take note that another host leads the upstream's failure domain."""
-
-    def upstream_synced(self, upstream: str, incarnation: int, running: int) -> None:
-        """Take note that all runs of the upstream are known."""
-
-    def upstream_doubted(self, upstream: str, reason: str, failures: int) -> None:
-        """Take note that the upstream gets no work for a while."""
-
 
 class UpstreamSession:
     """Give orders to one upstream under one fencing token."""
@@ -138,10 +68,7 @@
         self.fence = fence
         self._connector = connector
         self._listener = listener
-        self._live = live
-        self._runs: dict[RunKey, Run] = {}
-        self._foreign: dict[RunKey, _Foreign] = {}
-        self._used = Resources()
+        self.book = RunBook(live)
         self._clock: RemoteClock | None = None
         self._incarnation = 0
         self._acknowledged = 0
@@ -156,16 +83,7 @@
     @property
     def room(self) -> Resources:
         """Return what is left of the upstream's capacity."""
-        return self.info.capacity - self._used
-
-    @property
-    def run_count(self) -> int:
-        """Return how many runs may be alive."""
-        return len(self._runs) + len(self._foreign)
-
-    def __contains__(self, key: RunKey) -> bool:
-        """Return whether a run may be alive here."""
-        return key in self._runs
+        return self.info.capacity - self.book.used
 
     def admits(self, now_s: float) -> bool:
         """Return whether the upstream may get a run now."""
@@ -173,8 +91,8 @@
             self.synced
             and self.info.state is UpstreamState.READY
             and now_s >= self._full_until_s
-            and not self._foreign
-            and self.health.admits(now_s, len(self._runs))
+            and not self.book.has_foreign
+            and self.health.admits(now_s, len(self.book))
         )
 
     def update(self, info: UpstreamInfo) -> None:
@@ -184,43 +102,32 @@
     def start(self, task: TaskId, number: int, spec: str, needs: Resources) -> None:
         """Place a run; the listener hears what becomes of it."""
         run = Run(task, number, spec, needs, Phase.QUEUED, time.monotonic())
-        self._add(run)
-        self._orders.send_nowait((task, number))
+        self.book.add(run)
+        self._work.set()
+        self._orders.send_nowait(run.key)
 
     def stop(self, task: TaskId, number: int) -> None:
         """Stop a run whose result nobody needs any more."""
-        run = self._runs.get((task, number))
+        run = self.book.find((task, number))
         match run:
             case None | Run(phase=Phase.STOPPING):
                 pass
             case Run(phase=Phase.QUEUED):
-                self._remove((task, number))
+                self.book.remove(run.key)
             case Run():
-                self._runs[task, number] = replace(run, phase=Phase.STOPPING, confirmed_s=None)
-                self._orders.send_nowait((task, number))
+                self.book.update(replace(run, phase=Phase.STOPPING, confirmed_s=None))
+                self._orders.send_nowait(run.key)
 
     def close(self) -> None:
         """End the session; the runs end with their lease unless another host extends it."""
         self._scope.cancel()
 
-    def forget_runs(self) -> tuple[Run, ...]:
-        """Return the runs of a closed session once their lease has ended, and drop them."""
-        runs = self.collect_live()
-        for run in runs:
-            self._remove((run.task, run.number))
-        self._drop_foreign(tuple(self._foreign))
-        return runs
-
     def adopt_runs(self, job: str) -> None:
         """Offer the listener the runs of an earlier leader that belong to a job."""
         now_s = time.monotonic()
-        for key, foreign in list(self._foreign.items()):
-            if key[0].job == job:
-                self._take_foreign_run(key, foreign.run, now_s)
-
-    def collect_live(self) -> tuple[Run, ...]:
-        """Return the runs that may be alive."""
-        return tuple(self._runs.values())
+        for foreign in self.book.list_foreign():
+            if foreign.run.task.job == job:
+                self._take_foreign_run(foreign.run, now_s)
 
     @property
     def lease_end_s(self) -> float:
@@ -248,7 +155,7 @@
 
     async def _wait_for_work(self) -> None:
         """Wait for a run; acknowledge the last ends after a while if none comes."""
-        if self.synced and not self._runs and not self._foreign:
+        if self.synced and self.book.is_empty:
             self._work = anyio.Event()
             pending = self._acknowledged > self._acknowledgement_sent
             with anyio.move_on_after(ACKNOWLEDGEMENT_DELAY_S if pending else None):
@@ -256,8 +163,8 @@
 
     async def _hold(self, connection: OrderConnection) -> None:
         sent_s = time.monotonic()
-        wait_ms = HOLD_WAIT_MS if self.synced and not self._foreign else 0
-        wait_ms = wait_ms if self._runs else 0
+        wait_ms = HOLD_WAIT_MS if self.synced and len(self.book) else 0
+        wait_ms = 0 if self.book.has_foreign else wait_ms
         acknowledged = self._acknowledged
         hold = Hold(self.fence, acknowledged, wait_ms, self._extend_lease(sent_s))
         try:
@@ -270,7 +177,7 @@
             case RunReport():
                 self._acknowledgement_sent = acknowledged
                 self._apply(reply, sent_s)
-                if self._foreign:
+                if self.book.has_foreign:
                     await anyio.sleep(RETRY_S)
             case Rejected(rejection=Rejection.FENCE):
                 self._listener.superseded(self.info.id)
@@ -299,7 +206,7 @@
         for ended in report.ended:
             self._take_end(ended, now_s)
         listed = {(run.task, run.number): run for run in report.running}
-        self._drop_unlisted(listed, sent_s)
+        self._lose(self.book.select_unlisted(listed, sent_s))
         self._take_foreign(listed, now_s)
         if not self.synced:
             self.synced = True
@@ -308,27 +215,28 @@
         self._listener.room_changed()
         self._report_progress(listed)
 
-    def _report_progress(self, listed: dict[RunKey, RunningRun]) -> None:
+    def _report_progress(self, listed: Mapping[RunKey, RunningRun]) -> None:
         for key, found in listed.items():
-            run = self._runs.get(key)
+            run = self.book.find(key)
             if run is not None and run.phase is Phase.RUNNING:
                 self._listener.run_progressed(self.info.id, run, found.percent)
 
     def _begin_incarnation(self, incarnation: int) -> None:
         if self._incarnation:
-            self._lose(self.collect_live())
+            self._lose(self.book.list_runs())
             self.health = Health()
         self._incarnation = incarnation
         self._acknowledged = 0
         self._acknowledgement_sent = 0
-        self._drop_foreign(tuple(self._foreign))
+        self.book.drop_foreign(foreign.key for foreign in self.book.list_foreign())
 
     def _take_end(self, ended: EndedRun, now_s: float) -> None:
         if ended.sequence <= self._acknowledged:
             return
         self._acknowledged = ended.sequence
-        self._drop_foreign(((ended.task, ended.number),))
-        run = self._remove((ended.task, ended.number))
+        key = (ended.task, ended.number)
+        self.book.drop_foreign((key,))
+        run = self.book.remove(key)
         if run is None:
             self._listener.found_ended(self.info.id, ended)
             return
@@ -346,43 +254,35 @@
             case _:
                 pass
 
-    def _drop_unlisted(self, listed: dict[RunKey, RunningRun], sent_s: float) -> None:
-        # A run acknowledged before the hold was sent and listed nowhere is no longer alive.
-        lost = [
-            run
-            for key, run in self._runs.items()
-            if run.confirmed_s is not None and run.confirmed_s < sent_s and key not in listed
-        ]
-        self._lose(lost)
-
-    def _take_foreign(self, listed: dict[RunKey, RunningRun], now_s: float) -> None:
+    def _take_foreign(self, listed: Mapping[RunKey, RunningRun], now_s: float) -> None:
         for key, found in listed.items():
-            if key not in self._runs:
-                self._take_foreign_run(key, found, now_s)
-        self._drop_foreign(tuple(key for key in self._foreign if key not in listed))
-
-    def _take_foreign_run(self, key: RunKey, found: RunningRun, now_s: float) -> None:
+            if key not in self.book:
+                self._take_foreign_run(found, now_s)
+        gone = [run.key for run in self.book.list_foreign() if run.key not in listed]
+        self.book.drop_foreign(gone)
+
+    def _take_foreign_run(self, found: RunningRun, now_s: float) -> None:
+        """Adopt a run of an earlier leader, or stop it if its job has not come for a while."""
+        key = (found.task, found.number)
         needs = self._listener.found_running(self.info.id, found)
-        foreign = self._foreign.get(key)
+        foreign = self.book.find_foreign(key)
         if needs is not None:
-            self._drop_foreign((key,))
-            self._add(Run(*key, "", needs, Phase.RUNNING, now_s, now_s))
+            self._adopt(Run(*key, "", needs, Phase.RUNNING, now_s, now_s))
         elif foreign is None:
-            self._foreign[key] = _Foreign(found, now_s + ADOPTION_WAIT_S)
-            self._live.add(key[0])
+            self.book.add_foreign(ForeignRun(found, now_s + ADOPTION_WAIT_S))
+            self._work.set()
         elif now_s >= foreign.stop_s:
-            self._add(Run(*key, "", Resources(), Phase.STOPPING, now_s))
-            self._drop_foreign((key,))
+            self._adopt(Run(*key, "", Resources(), Phase.STOPPING, now_s))
             self._orders.send_nowait(key)
 
-    def _drop_foreign(self, keys: Iterable[RunKey]) -> None:
-        for key in keys:
-            if self._foreign.pop(key, None) is not None:
-                self._live.remove(key[0])
+    def _adopt(self, run: Run) -> None:
+        self.book.add(run)
+        self.book.drop_foreign((run.key,))
+        self._work.set()
 
     def _lose(self, runs: Iterable[Run]) -> None:
         for run in runs:
-            self._remove((run.task, run.number))
+            self.book.remove(run.key)
             self._listener.run_lost(self.info.id, run)
 
     def _note_silence(self, error: ExchangeError) -> None:
@@ -392,14 +292,14 @@
         self.health = record_silence(self.health, now_s)
         self._report_ejection(before, str(error))
         if now_s > self._lease_end_s:
-            self._lose(self.collect_live())
+            self._lose(self.book.list_runs())
 
     def _note_refusal(self, rejection: Rejection) -> None:
         before = self.health
         self.health = record_refusal(self.health, time.monotonic())
         self._report_ejection(before, rejection)
         if rejection is Rejection.OTHER_INCARNATION:
-            self._lose(self.collect_live())
+            self._lose(self.book.list_runs())
             self._clock = None
             self._incarnation = 0
             self.synced = False
@@ -415,7 +315,7 @@
         try:
             async with pending:
                 async for key in pending:
-                    run = self._runs.get(key)
+                    run = self.book.find(key)
                     if run is not None:
                         await self._send_order(connection, run)
         finally:
@@ -431,7 +331,7 @@
                 pass
 
     async def _send_start(self, connection: OrderConnection, run: Run) -> None:
-        self._runs[run.task, run.number] = run
+        self.book.update(run)
         lease_until_ms = self._extend_lease(time.monotonic())
         if lease_until_ms is None:
             self._withdraw(run, None)
@@ -469,8 +369,8 @@
         except ExchangeError as error:
             self._note_silence(error)
             await anyio.sleep(RETRY_S)
-            if (run.task, run.number) in self._runs:
-                self._orders.send_nowait((run.task, run.number))
+            if run.key in self.book:
+                self._orders.send_nowait(run.key)
             return
         match reply:
             case Accepted():
@@ -484,26 +384,12 @@
                 self._confirm(run)
 
     def _confirm(self, run: Run) -> None:
-        key = (run.task, run.number)
-        current = self._runs.get(key)
+        current = self.book.find(run.key)
         if current is None or current.phase is not run.phase:
             return
         phase = Phase.RUNNING if run.phase is Phase.STARTING else run.phase
-        self._runs[key] = replace(current, phase=phase, confirmed_s=time.monotonic())
+        self.book.update(replace(current, phase=phase, confirmed_s=time.monotonic()))
 
     def _withdraw(self, run: Run, rejection: Rejection | None) -> None:
-        if self._remove((run.task, run.number)) is not None:
+        if self.book.remove(run.key) is not None:
             self._listener.run_not_started(self.info.id, run, rejection)
-
-    def _add(self, run: Run) -> None:
-        self._runs[run.task, run.number] = run
-        self._used = self._used + run.needs
-        self._live.add(run.task)
-        self._work.set()
-
-    def _remove(self, key: RunKey) -> Run | None:
-        run = self._runs.pop(key, None)
-        if run is not None:
-            self._used = self._used - run.needs
-            self._live.remove(run.task)
-        return run
--- a/packages/host/src/fireflybridge_host/_campaign.py
+++ b/packages/host/src/fireflybridge_host/_campaign.py
@@ -100,7 +100,7 @@
         share = 1 - min(self._strength / FULL_STRENGTH, 1)
         await anyio.sleep(FIRST_CLAIM_SPREAD_S * share + random.uniform(0, CLAIM_SPREAD_S))
         domains = group_orphans(self._domains, self._leadership.terms, None)
-        if self._draining or await self._claim(domains) is not ClaimResult.WON:
+        if self._draining or not domains or await self._claim(domains) is not ClaimResult.WON:
             await self._leadership.changed.wait(RECHECK_S)
 
     async def _claim(self, domains: tuple[str, ...]) -> ClaimResult:
--- a/packages/placement/src/fireflybridge_placement/_choice.py
+++ b/packages/placement/src/fireflybridge_placement/_choice.py
@@ -16,6 +16,7 @@
     """Describe the room and speed of an upstream that takes work."""
 
     id: str
+    pool: str
     room: Resources
     speed: float
     labels: tuple[str, ...]
@@ -25,6 +26,7 @@
 class Demand:
     """Describe a task that waits: what it needs, its expected work and where it may run."""
 
+    pool: str
     needs: Resources
     work_ms: float
     required_label: str = ""
@@ -49,7 +51,8 @@
 
 def _fits(demand: Demand, candidate: Candidate) -> bool:
     return (
-        demand.needs.fits_in(candidate.room)
+        candidate.pool == demand.pool
+        and demand.needs.fits_in(candidate.room)
         and candidate.id not in demand.excluded
         and demand.work_ms / candidate.speed <= demand.limit_ms
         and _carries(candidate.labels, demand.required_label)
--- a/packages/placement/src/fireflybridge_placement/_estimates.py
+++ b/packages/placement/src/fireflybridge_placement/_estimates.py
@@ -1,6 +1,7 @@
 """Expected work of tasks and speed of upstreams, learned from the runs that ended."""
 
 import math
+from collections.abc import Collection
 
 SPEED_WEIGHT = 0.15  # a task's estimate is far off, so one run tells little of a speed
 ROUTE_WEIGHT = 0.02
@@ -22,6 +23,10 @@
         """Return an upstream's speed; the average is 1."""
         return math.exp(-self._upstreams.get(upstream, 0.0))
 
+    def get_highest_speed(self) -> float:
+        """Return the highest speed that was learned, or the average before any."""
+        return math.exp(-min(self._upstreams.values(), default=0.0))
+
     def record(self, route: str, upstream: str, estimate_ms: float, elapsed_ms: float) -> None:
         """Learn from a run that was done in a time."""
         expected_ms = self.expect_work_ms(route, estimate_ms)
@@ -33,6 +38,8 @@
         self._upstreams[upstream] = slowness + SPEED_WEIGHT * error
         self._routes[route] = self._routes.get(route, 0.0) + ROUTE_WEIGHT * error
 
-    def forget(self, upstream: str) -> None:
-        """Drop what was learned of an upstream that is gone or has started anew."""
-        self._upstreams.pop(upstream, None)
+    def retain(self, upstreams: Collection[str]) -> None:
+        """Drop what was learned of all other upstreams."""
+        self._upstreams = {
+            name: value for name, value in self._upstreams.items() if name in upstreams
+        }
