--- a/features/run.py
+++ b/features/run.py
@@ -53,7 +53,7 @@
 
 def run_feature(path: str) -> Run:
     """Run one feature, or a part of it given as ``path:line``, in a process of its own."""
-    options = ["--no-color", "--format", "progress", f"--tags=not {KNOWN_RED_TAG}", path]
+    options = ["--no-color", "--format", "progress3", f"--tags=not {KNOWN_RED_TAG}", path]
     environment = {**os.environ, "PATH": f"{Path(sys.executable).parent}:{os.environ['PATH']}"}
     started = time.monotonic()
     process = subprocess.run(
--- a/packages/execution/src/fireflybridge_execution/_active_job.py
+++ b/packages/execution/src/fireflybridge_execution/_active_job.py
@@ -26,6 +26,7 @@
         self.received_s = received_s
         self.deadline_s = received_s + min(job.wait_ms, job.policy.timeout_ms) / 1000
         self.resubmitted = resubmitted
+        self.takes_any_speed = False
         self.waiters = 0
         self.may_have_run = resubmitted
         self.waiting: deque[TaskId] = deque()
--- a/packages/execution/src/fireflybridge_execution/_placer.py
+++ b/packages/execution/src/fireflybridge_execution/_placer.py
@@ -3,6 +3,7 @@
 import time
 from collections.abc import Collection, Mapping
 from dataclasses import replace
+from math import inf
 
 from fireflybridge_execution._active_job import ActiveJob
 from fireflybridge_execution._events import Placement
@@ -122,13 +123,14 @@
         work_ms = self.estimates.expect_work_ms(active.job.policy.route, step.estimate_ms)
         left_ms = (active.deadline_s - now_s) * 1000
         fastest = FASTEST_SHARE * self.estimates.get_highest_speed()
+        limit_ms = inf if active.takes_any_speed else max(left_ms, work_ms / fastest)
         return Demand(
             active.job.policy.pool,
             step.needs,
             work_ms,
             step.required_label,
             step.data_rack,
-            max(left_ms, work_ms / fastest),
+            limit_ms,
             excluded,
         )
 
--- a/packages/execution/src/fireflybridge_execution/_scheduler.py
+++ b/packages/execution/src/fireflybridge_execution/_scheduler.py
@@ -137,6 +137,10 @@
         if not active.may_have_run:
             with anyio.move_on_after(max(refusal_s - time.monotonic(), 0)):
                 await active.offered.wait()
+            if not active.offered.is_set():
+                # A slow upstream is better than a refusal.
+                active.takes_any_speed = True
+                self._place()
             if not active.offered.is_set():
                 return self._refuse(active)
         with anyio.move_on_after(max(active.deadline_s - time.monotonic(), 0)):
