--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -7,6 +7,17 @@
     And a task of 170 ms goes to the upstream of speed 1.0
     And a task of 50 ms goes to the upstream of speed 0.6
 
+  Scenario: An upstream that would be late for the objective is the last choice
+    # Guards against short jobs that are late on slow upstreams while others are free.
+    Given upstreams of speed 0.6, 1.0 and 1.6 with room
+    When the objective of the task is 300 ms
+    Then a task of 170 ms goes to the upstream of speed 1.0
+    And a task of 190 ms goes to the upstream of speed 1.0
+    When the upstream of speed 1.0 has no room
+    Then a task of 190 ms goes to the upstream of speed 1.6
+    When the upstream of speed 1.6 has no room
+    Then a task of 190 ms goes to the upstream of speed 0.6
+
   Scenario: A task that only a fast upstream can finish in time waits for one
     # Guards against long tasks that are started on a slow upstream and reach their deadline there.
     Given upstreams of speed 0.6, 1.0 and 1.6 with room
--- a/features/steps/decisions.py
+++ b/features/steps/decisions.py
@@ -73,6 +73,11 @@
     context.demand = replace(context.demand, excluded=frozenset({name_upstream(speed)}))
 
 
+@when("the objective of the task is {objective_ms:d} ms")
+def _(context: Context, objective_ms: int) -> None:
+    context.demand = replace(context.demand, objective_ms=objective_ms)
+
+
 @when("the task must be done in {limit_ms:d} ms")
 def _(context: Context, limit_ms: int) -> None:
     context.demand = replace(context.demand, limit_ms=limit_ms)
--- a/packages/execution/src/fireflybridge_execution/_placer.py
+++ b/packages/execution/src/fireflybridge_execution/_placer.py
@@ -26,7 +26,7 @@
 FASTEST_SHARE = 0.9  # learned speeds of equal upstreams differ by about a tenth
 NO_SPEED = 1e-6
 LATE_FACTOR = 3  # an answer later than this many objectives counts for nothing
-HOPELESS_SHARE = 0.5  # estimates are far off, so a job is given up well past its expectation
+HOPELESS_SHARE = 0.375  # a job 40% shorter than expected, on an upstream of speed 1.6
 
 
 class Placer:
@@ -76,7 +76,7 @@
             self.estimates.expect_work_ms(active.job.policy.route, estimate_ms),
             self.estimates.get_speed(upstream),
         )
-        limits = self._compute_limits(active, now_s)
+        limits = self._compute_limits(active, now_s, self.expect_chain_ms(active.job))
         moves = should_move(progress, limits, self._find_free_speed(upstream, run, now_s))
         return progress if moves else None
 
@@ -130,13 +130,14 @@
             work_ms,
             step.required_label,
             step.data_rack,
+            self._compute_limits(active, now_s, work_ms).objective_ms,
             limit_ms,
             excluded,
         )
 
-    def _compute_limits(self, active: ActiveJob, now_s: float) -> TimeLimits:
+    def _compute_limits(self, active: ActiveJob, now_s: float, chain_ms: float) -> TimeLimits:
         age_ms = (now_s - active.received_s) * 1000
-        objective_ms = compute_objective_ms(active.job, self.expect_chain_ms(active.job))
+        objective_ms = compute_objective_ms(active.job, chain_ms)
         return TimeLimits(
             objective_ms - age_ms,
             LATE_FACTOR * objective_ms - age_ms,
--- a/packages/placement/src/fireflybridge_placement/_choice.py
+++ b/packages/placement/src/fireflybridge_placement/_choice.py
@@ -8,6 +8,8 @@
 
 RESERVE_MS = 200.0  # price of one unit of speed; keeps fast upstreams for long tasks
 REMOTE_DATA_FACTOR = 3.0  # how much longer a task takes off the rack of its data
+LATE_PRICE_MS = 400.0  # makes an upstream that would be late the last choice for most tasks
+LATE_MARGIN = 1.15  # waiting and calls take a part of the objective as well
 CPU_PRICE_MS = 0.0002  # for each free thousandth of a core left over; fills upstreams up
 
 
@@ -31,6 +33,8 @@
     work_ms: float
     required_label: str = ""
     data_rack: str = ""
+    objective_ms: float = inf
+    """Time in which the task should be done; a later upstream is a last choice."""
     limit_ms: float = inf
     """Time in which the task must be done; upstreams that are too slow for it are passed over."""
     excluded: frozenset[str] = frozenset()
@@ -67,4 +71,11 @@
     local = _carries(candidate.labels, demand.data_rack)
     work_ms = demand.work_ms if local else demand.work_ms * REMOTE_DATA_FACTOR
     left = candidate.room.cpu_millicores - demand.needs.cpu_millicores
-    return work_ms / candidate.speed + RESERVE_MS * candidate.speed + CPU_PRICE_MS * left
+    elapsed_ms = work_ms / candidate.speed
+    late = elapsed_ms * LATE_MARGIN > demand.objective_ms
+    return (
+        elapsed_ms
+        + RESERVE_MS * candidate.speed
+        + CPU_PRICE_MS * left
+        + (LATE_PRICE_MS if late else 0)
+    )
