--- a/features/site.feature
+++ b/features/site.feature
@@ -68,6 +68,15 @@
     Then every job is answered 200 "succeeded"
     And no task ran twice at the same time
 
+  Scenario: A run that makes no progress is moved to another upstream
+    # Guards against jobs that wait for a task on an upstream that hangs.
+    Given hosts on a site
+    When an upstream hangs
+    And 8 jobs of 3 tasks are submitted to each host in turn
+    Then every job is answered 200 "succeeded"
+    And no task ran twice at the same time
+    And no task was started twice on one upstream
+
   Scenario: An upstream that fails its runs gets no more than a few
     Given hosts on a site
     When an upstream fails everything it starts
--- a/features/steps/site.py
+++ b/features/steps/site.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+from collections import Counter
 from pathlib import Path
 
 import httpx
@@ -154,6 +155,18 @@
     context.deployment.control("upstreams/u-z1-0", {"fails": True})
 
 
+@when("an upstream hangs")
+def _(context: Context) -> None:
+    context.deployment.control("upstreams/u-z1-0", {"hangs": True})
+
+
+@then("no task was started twice on one upstream")
+def _(context: Context) -> None:
+    runs = context.deployment.list_runs()
+    places = Counter((run["task"], run["upstream"]) for run in runs)
+    assert max(places.values()) == 1, places
+
+
 @when("an upstream drains and its entry was read")
 def _(context: Context) -> None:
     context.deployment.control("upstreams/u-z2-0", {"state": "draining"})
--- a/packages/execution/src/fireflybridge_execution/_active_job.py
+++ b/packages/execution/src/fireflybridge_execution/_active_job.py
@@ -38,6 +38,7 @@
         self.answered = anyio.Event()
         self._numbers: dict[TaskId, int] = {}
         self._failures: dict[TaskId, tuple[str, ...]] = {}
+        self._moved: dict[TaskId, tuple[str, ...]] = {}
         self._done: set[TaskId] = set()
         self._remaining = [step.count for step in job.steps]
         self._released: set[int] = set()
@@ -91,9 +92,13 @@
         self.put_back(task)
         return len(failures)
 
-    def failed_on(self, task: TaskId) -> frozenset[str]:
-        """Return the upstreams on which a task has failed."""
-        return frozenset(self._failures.get(task, ()))
+    def move_run(self, task: TaskId, upstream: str) -> None:
+        """Record that a task's run is stopped, to be placed on another upstream."""
+        self._moved[task] = (*self._moved.get(task, ()), upstream)
+
+    def list_avoided(self, task: TaskId) -> frozenset[str]:
+        """Return the upstreams on which a task has failed or was too slow."""
+        return frozenset((*self._failures.get(task, ()), *self._moved.get(task, ())))
 
     def finish(self, task: TaskId) -> None:
         """Record that a task is done and release the steps that waited for its step."""
--- a/packages/execution/src/fireflybridge_execution/_placer.py
+++ b/packages/execution/src/fireflybridge_execution/_placer.py
@@ -115,7 +115,7 @@
         now_s: float,
     ) -> Demand:
         step = active.step_of(task)
-        excluded = active.failed_on(task)
+        excluded = active.list_avoided(task)
         if excluded.issuperset(candidates):
             excluded = frozenset()
         if step.max_per_upstream:
--- a/packages/execution/src/fireflybridge_execution/_scheduler.py
+++ b/packages/execution/src/fireflybridge_execution/_scheduler.py
@@ -304,6 +304,7 @@
         progress = self._placer.find_move(active, upstream, run, percent)
         if progress is not None:
             self._on_event(RunMoved(run.task, run.number, upstream, progress))
+            active.move_run(run.task, upstream)
             session.stop(run.task, run.number)
 
     def _report_run(self, upstream: str, run: Run, ending: str) -> None:
--- a/packages/execution/src/fireflybridge_execution/_session.py
+++ b/packages/execution/src/fireflybridge_execution/_session.py
@@ -40,7 +40,7 @@
     record_success,
 )
 
-LEASE_MS = 800  # outlives three missed holds; ends before a caller sends a lost job again
+LEASE_MS = 600  # outlives a missed hold; a silent upstream's tasks start elsewhere after it
 HOLD_WAIT_MS = 120  # also the age of what is known of a run's progress
 HOLD_SLACK_S = 0.2  # round trip to a loaded upstream
 ORDER_TIMEOUT_S = 0.2
--- a/standins/src/fireflybridge_standins/site/_upstream.py
+++ b/standins/src/fireflybridge_standins/site/_upstream.py
@@ -128,10 +128,19 @@
         return ACCEPTED, {
             "clock_ms": self.clock_ms,
             "born": self.born,
-            "running": [[task, run, "", 50] for task, run in self.live],
+            "running": [
+                [*key, "", self._measure_progress(live)] for key, live in self.live.items()
+            ],
             "ended": self.ended,
         }
 
+    def _measure_progress(self, live: _Live) -> int:
+        """Return the percentage of a run's work that is done."""
+        if self.behaviour.hangs:
+            return 0
+        elapsed_s = time.monotonic() - live.record.started_s
+        return min(int(100 * elapsed_s / self.behaviour.work_s), 99)
+
     def _refuse(self, order: dict[str, Any], cpu: int) -> str:
         if self._is_fenced(order):
             return "fence"
