--- a/features/site.feature
+++ b/features/site.feature
@@ -125,3 +125,54 @@
     Then it exits with code 2 and names check "adapter.E001"
     When a host is started with settings that lack its zone
     Then it exits with code 2 and names check "adapter.E002"
+
+  Scenario: A job whose task fails everywhere is answered as failed after its attempts
+    Given hosts on a site
+    When every upstream fails everything it starts
+    And 1 job of 1 tasks is submitted to each host in turn
+    Then every job is answered 200 "failed"
+    And no task was started more than 3 times
+
+  Scenario: A claim without an answer stands if the log holds it
+    # Guards against two leaders after an append whose answer was lost.
+    Given hosts on a site
+    When the next 2 appends take effect without an answer
+    And the leader is killed
+    Then a job submitted to another host is answered 200 "succeeded"
+    And the upstreams of a zone obey one host
+    And no task ran twice at the same time
+
+  Scenario: Jobs are answered while the log refuses every call
+    Given hosts on a site
+    When the log refuses every call
+    And 6 jobs of 4 tasks are submitted to each host in turn
+    Then every job is answered 200 "succeeded"
+
+  Scenario: A host goes on after SIGHUP and logs it
+    Given hosts on a site
+    When each host gets SIGHUP
+    And 3 jobs of 4 tasks are submitted to each host in turn
+    Then every job is answered 200 "succeeded"
+    And each host has logged event 7002
+
+  Scenario: A killed entry host's jobs leave no run behind
+    # Guards against runs of a caller that has gone to another host meanwhile.
+    Given hosts on a site whose tasks take 5000 ms
+    When a job of 2 tasks is submitted to each host
+    And 4 runs or more are under way
+    And every host but the leader is killed
+    Then only runs of the leader's own job are under way
+
+  Scenario: A host drains before it stops, and answers what it has accepted
+    Given hosts on a site whose tasks take 800 ms
+    When a job of 2 tasks is submitted to each host
+    And 4 runs or more are under way
+    And every host but the leader is terminated
+    Then every job is answered 200 "succeeded"
+    And each of 6 tasks was started once
+    And every host but the leader exits with code 0
+
+  Scenario: Metrics are served
+    Given hosts on a site
+    When 3 jobs of 2 tasks are submitted to each host in turn
+    Then the metrics of the leader count 6 runs
--- a/features/steps/site.py
+++ b/features/steps/site.py
@@ -1,5 +1,6 @@
 """Steps on hosts that run on a stand-in for the users' platform."""
 
+import signal
 import threading
 import time
 from collections import Counter
@@ -155,6 +156,76 @@
     context.deployment.control("upstreams/u-z1-0", {"fails": True})
 
 
+@when("every upstream fails everything it starts")
+def _(context: Context) -> None:
+    for name in context.deployment.control("state")["fences"]:
+        context.deployment.control(f"upstreams/{name}", {"fails": True})
+
+
+@when("the next {count:d} appends take effect without an answer")
+def _(context: Context, count: int) -> None:
+    context.deployment.control("store", {"lost_appends": count})
+
+
+@when("the log refuses every call")
+def _(context: Context) -> None:
+    context.deployment.control("store", {"refuses": True})
+
+
+@when("each host gets SIGHUP")
+def _(context: Context) -> None:
+    for host in context.deployment.hosts.values():
+        host.process.send_signal(signal.SIGHUP)
+
+
+@when("every host but the leader is killed")
+def _(context: Context) -> None:
+    for host in other_hosts(context):
+        context.deployment.hosts[host].kill()
+
+
+@when("every host but the leader is terminated")
+def _(context: Context) -> None:
+    for host in other_hosts(context):
+        context.deployment.hosts[host].terminate()
+
+
+@then("no task was started more than {most:d} times")
+def _(context: Context, most: int) -> None:
+    starts = count_starts(context.deployment.list_runs())
+    assert starts, "no task was started"
+    assert max(starts.values()) <= most, starts
+
+
+@then("each host has logged event {event_id:d}")
+def _(context: Context, event_id: int) -> None:
+    for host in context.deployment.hosts:
+        wait_until(
+            lambda host=host: context.deployment.read_events(host, event_id), detail=f"{host}"
+        )
+
+
+@then("only runs of the leader's own job are under way")
+def _(context: Context) -> None:
+    def belongs_to_leader() -> bool:
+        return len({str(run["task"]).split(".")[0] for run in list_live(context)}) == 1
+
+    wait_until(belongs_to_leader, CHANGE_LIMIT_S, "only one job has runs")
+
+
+@then("every host but the leader exits with code {code:d}")
+def _(context: Context, code: int) -> None:
+    for host in other_hosts(context):
+        assert context.deployment.hosts[host].wait_exit() == code, host
+
+
+@then("the metrics of the leader count {runs:d} runs")
+def _(context: Context, runs: int) -> None:
+    url = f"http://{context.deployment.find_ip(context.leader)}:9464/metrics"
+    text = httpx.get(url, timeout=10).text
+    assert f"fireflybridge_runs_total {runs}.0" in text, text
+
+
 @when("an upstream hangs")
 def _(context: Context) -> None:
     context.deployment.control("upstreams/u-z1-0", {"hangs": True})
