--- a/features/steps/pages_examples.py
+++ b/features/steps/pages_examples.py
@@ -86,7 +86,8 @@
     assert response.status_code == 202, response.text
     context.location = response.headers["location"]
     wait_until(deployment.read_starts, detail="a start")
-    deployment.call("d2", "DELETE", context.location)
+    cancelled = deployment.call("d2", "DELETE", context.location)
+    assert cancelled.status_code == 202, cancelled.text
 
 
 @then("the cancelled job of the pages ends with tasks that never started")
