Wait for all runs of a resubmitted job even if it arrives before the term that brought it

A leader that hands over to another knows its term at once, and its jobs arrive there before the log's long poll; the other host, leading its own failure domain for long, took them for settled and started tasks whose runs went on elsewhere. The wait of a resubmitted job counts from its arrival now. Ruled out: late orders and moved runs (both runs have number 1, 58 ms apart, of two leaders).

Both causes of incident inc-c388 are mended, their tests pass: a draining host says so in its heartbeats, and a host that lost an append reads what came before it. JobScheduler stands once.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -86,9 +86,16 @@
     And a provisional term after 2000 is newer than it and older than the next in the log
     And 2000 provisional ranks after one term stay below the next in the log
 
-  @known_red
   Scenario: A host that lost an append reads at once what came before it
     # Guards against a second of vain claims while its long poll hears nothing (incident inc-c388).
     Given a host that follows a log whose long polls hear nothing
     When another host appends a term and this host claims
     Then this host knows the other's term
+
+  Scenario: A job submitted again is not started before all its earlier runs are known
+    # Guards against a task that runs twice when its job arrives before the term that joins leaders.
+    Given a host that has long led failure domain "z1" of two
+    When a job is submitted to it again
+    Then none of its tasks is started
+    When the host leads "z2" as well and knows the runs there
+    Then the job's task that runs in "z2" is adopted and the other is started once
--- a/features/site.feature
+++ b/features/site.feature
@@ -177,7 +177,6 @@
     When 3 jobs of 2 tasks are submitted to each host in turn
     Then the metrics of the leader count 6 runs
 
-  @known_red
   Scenario: A leader that stops doesn't hand over to a host that is stopping itself
     # Guards against terms that name a host which has just stopped (incident inc-c388, second 15).
     Given hosts on a site
--- a/features/steps/decisions.py
+++ b/features/steps/decisions.py
@@ -7,7 +7,21 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from fireflybridge_jobs import Job, QueuePolicy, Resources, Step
+from fireflybridge_execution import Accepted, DirectoryView, Hold, Scheduler, Start, Stop
+from fireflybridge_jobs import (
+    EndedRun,
+    Ending,
+    Job,
+    QueuePolicy,
+    Resources,
+    RunningRun,
+    RunReport,
+    Step,
+    Succeeded,
+    TaskId,
+    UpstreamInfo,
+    UpstreamState,
+)
 from fireflybridge_leadership import (
     Appended,
     AppendResult,
@@ -276,3 +290,111 @@
 @then("this host knows the other's term")
 def _(context: Context) -> None:
     assert context.leadership.terms["z1"].holder == make_term(1).holder
+
+
+class MemoryUpstream:
+    """An upstream in memory that finishes each run at the hold after its start."""
+
+    def __init__(self, running: tuple[RunningRun, ...] = ()) -> None:
+        self.running = list(running)
+        self.started: list[Start] = []
+        self.ended: list[EndedRun] = []
+
+    async def start(self, order: Start, timeout_s: float) -> Accepted:
+        """Start a run."""
+        self.started.append(order)
+        self.running.append(RunningRun(order.task, order.number, 0))
+        return Accepted(1000.0)
+
+    async def stop(self, order: Stop, timeout_s: float) -> Accepted:
+        """Stop a run."""
+        self.running = [run for run in self.running if run.task != order.task]
+        return Accepted(1000.0)
+
+    async def hold(self, order: Hold, timeout_s: float) -> RunReport:
+        """List the runs; those that were listed before have ended."""
+        await anyio.sleep(0.01)
+        running = tuple(self.running)
+        ended = tuple(end for end in self.ended if end.sequence > order.acknowledged)
+        if order.lease_until_ms is not None:
+            first = len(self.ended) + 1
+            self.ended += [
+                EndedRun(first + index, run.task, run.number, Ending.DONE)
+                for index, run in enumerate(running)
+            ]
+            self.running.clear()
+        return RunReport(1000.0, 1, running, ended)
+
+    async def close(self) -> None:
+        """Close nothing."""
+
+
+class MemoryConnector:
+    """Connect to upstreams in memory by id."""
+
+    def __init__(self, upstreams: dict[str, MemoryUpstream]) -> None:
+        self._upstreams = upstreams
+
+    def open(self, upstream: UpstreamInfo) -> MemoryUpstream:
+        """Return an upstream as its own connection."""
+        return self._upstreams[upstream.id]
+
+
+LONG_LED_S = 2.2  # longer than runs of an earlier leader may live
+SHORTLY_S = 0.08  # shorter than the wait for a term that is on its way
+
+
+@given('a host that has long led failure domain "{domain}" of two')
+def _(context: Context, domain: str) -> None:
+    earlier = RunningRun(TaskId("0" * 16, 0, 0, 0), 1, 10)
+    context.memory = {"z1": MemoryUpstream(), "z2": MemoryUpstream((earlier,))}
+
+
+@when("a job is submitted to it again")
+def _(context: Context) -> None:
+    anyio.run(submit_again, context)
+
+
+async def submit_again(context: Context) -> None:
+    """Submit a job again to the leader of z1, then let it lead z2 too."""
+    infos = {
+        name: UpstreamInfo(name, "desk", f"{name}:1", name, UpstreamState.READY, ROOM)
+        for name in context.memory
+    }
+    connector = MemoryConnector(context.memory)
+    scheduler = Scheduler(connector, lambda _event: None, lambda: None, infos)
+    job = replace(make_job(1000), steps=(Step(2, NEEDS, 50),))
+    async with anyio.create_task_group() as group:
+        group.start_soon(scheduler.serve)
+        scheduler.lead({"z1": 1000})
+        scheduler.set_upstreams(DirectoryView(infos))
+        await anyio.sleep(LONG_LED_S)
+        group.start_soon(submit_job, context, scheduler, job)
+        await anyio.sleep(SHORTLY_S)
+        context.early_starts = [*context.memory["z1"].started, *context.memory["z2"].started]
+        scheduler.lead({"z1": 1000, "z2": 2000})
+        with anyio.move_on_after(5):
+            while not hasattr(context, "answer"):
+                await anyio.sleep(0.01)
+        group.cancel_scope.cancel()
+
+
+async def submit_job(context: Context, scheduler: Scheduler, job: Job) -> None:
+    context.answer = await scheduler.submit(job, 0.0, resubmitted=True)
+
+
+@then("none of its tasks is started")
+def _(context: Context) -> None:
+    assert not context.early_starts, context.early_starts
+
+
+@when('the host leads "z2" as well and knows the runs there')
+def _(context: Context) -> None:
+    assert hasattr(context, "answer"), "the job has no answer"
+
+
+@then('the job\'s task that runs in "z2" is adopted and the other is started once')
+def _(context: Context) -> None:
+    started = [order.task.index for u in context.memory.values() for order in u.started]
+    assert started == [1], started
+    assert context.answer == Succeeded(), context.answer
--- a/packages/entry/src/fireflybridge_entry/__init__.py
+++ b/packages/entry/src/fireflybridge_entry/__init__.py
@@ -8,8 +8,9 @@
     Route,
     RouteTable,
 )
+from fireflybridge_entry._job_scheduler import JobScheduler
 from fireflybridge_entry._link import LeaderLink, LinkLoss
-from fireflybridge_entry._peer_service import JobScheduler, PeerService
+from fireflybridge_entry._peer_service import PeerService
 from fireflybridge_entry._submission import JobSubmitter, LocalLeader, RemoteLeader
 
 __all__ = [
--- a/packages/entry/src/fireflybridge_entry/_codec.py
+++ b/packages/entry/src/fireflybridge_entry/_codec.py
@@ -43,6 +43,7 @@
     holder: Holder
     failure_domain: str
     strength: float
+    draining: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/entry/src/fireflybridge_entry/_link.py
+++ b/packages/entry/src/fireflybridge_entry/_link.py
@@ -1,7 +1,7 @@
 """Links between hosts: heartbeats on a connection of their own."""
 
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import anyio
 
@@ -38,6 +38,10 @@
         self._host = host
         self._heartbeat = encode_heartbeat(host)
 
+    def start_draining(self) -> None:
+        """Tell the leader from now on that this host is about to stop."""
+        self._heartbeat = encode_heartbeat(replace(self._host, draining=True))
+
     async def watch(self, term: Term, limit_s: float | None = None) -> LinkLoss | None:
         """Return why the leader was lost, or None after a time or once its term is over."""
         connection = Connection(term.holder.address)
--- a/packages/entry/src/fireflybridge_entry/_peer_service.py
+++ b/packages/entry/src/fireflybridge_entry/_peer_service.py
@@ -2,7 +2,6 @@
 
 import time
 from dataclasses import dataclass
-from typing import Protocol
 
 import anyio
 
@@ -17,22 +16,15 @@
     encode_answer,
     encode_heartbeat_reply,
 )
+from fireflybridge_entry._job_scheduler import JobScheduler
 from fireflybridge_entry._link import SILENCE_S
 from fireflybridge_http import Request, Response
-from fireflybridge_jobs import Answer, Job, Moved, TimedOut
+from fireflybridge_jobs import Answer, Moved, TimedOut
 from fireflybridge_leadership import Holder, Leadership
 
 PEER_CHECK_S = 0.1
 
 
-class JobScheduler(Protocol):
-    """Take jobs of other hosts."""
-
-    async def submit(self, job: Job, age_s: float, *, resubmitted: bool) -> Answer:
-        """Return the answer to a job."""
-        ...
-
-
 @dataclass(frozen=True, slots=True)
 class _Heard:
     """Hold the sender of a heartbeat and when the newest one arrived."""
@@ -76,8 +68,8 @@
                     scope.cancel()
 
     def find_strongest(self) -> Holder | None:
-        """Return the strongest host whose heartbeats arrive, or None."""
-        peers = (heard.peer for heard in self._heard.values())
+        """Return the strongest host that is heard and isn't draining, or None."""
+        peers = (heard.peer for heard in self._heard.values() if not heard.peer.draining)
         strongest = max(peers, key=lambda peer: peer.strength, default=None)
         return None if strongest is None else strongest.holder
 
--- a/packages/entry/src/fireflybridge_entry/_submission.py
+++ b/packages/entry/src/fireflybridge_entry/_submission.py
@@ -2,11 +2,11 @@
 
 import time
 from dataclasses import dataclass
-from typing import Protocol
 
 import anyio
 
 from fireflybridge_entry._codec import CodecError, Submission, decode_answer, encode_submission
+from fireflybridge_entry._job_scheduler import JobScheduler
 from fireflybridge_http import ConnectionPool, ExchangeError
 from fireflybridge_jobs import Answer, Job, Moved, NotRun, RefusalReason, TimedOut
 from fireflybridge_leadership import Notifier
@@ -18,14 +18,6 @@
 RETRY_AFTER_S = 1
 
 
-class LocalScheduler(Protocol):
-    """Take jobs on the host itself."""
-
-    async def submit(self, job: Job, age_s: float, *, resubmitted: bool) -> Answer:
-        """Return the answer to a job."""
-        ...
-
-
 @dataclass(frozen=True, slots=True)
 class LocalLeader:
     """Say that this host leads."""
@@ -49,7 +41,7 @@
     leader adopts its runs instead of starting the tasks a second time beside them.
     """
 
-    def __init__(self, host: str, scheduler: LocalScheduler) -> None:
+    def __init__(self, host: str, scheduler: JobScheduler) -> None:
         self._host = host
         self._scheduler = scheduler
         self._leader: Leader = None
--- a/packages/execution/src/fireflybridge_execution/_active_job.py
+++ b/packages/execution/src/fireflybridge_execution/_active_job.py
@@ -1,5 +1,6 @@
 """State of one job that a leader is working on."""
 
+import time
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -24,6 +25,7 @@
     def __init__(self, job: Job, received_s: float, *, resubmitted: bool) -> None:
         self.job = job
         self.received_s = received_s
+        self.submitted_s = time.monotonic()
         self.deadline_s = received_s + min(job.wait_ms, job.policy.timeout_ms) / 1000
         self.resubmitted = resubmitted
         self.takes_any_speed = False
--- a/packages/execution/src/fireflybridge_execution/_roster.py
+++ b/packages/execution/src/fireflybridge_execution/_roster.py
@@ -64,19 +64,16 @@
         """Return whether this host leads every failure domain."""
         return bool(self._sessions) and self._fences.keys() >= self._domains
 
-    @property
-    def settled_s(self) -> float:
-        """Return when no run of an earlier leader can be alive any more."""
-        return self._settled_s
-
-    def has_settled(self, now_s: float) -> bool:
-        """Return whether no run of an earlier leader can be alive without this host's knowledge.
+    def compute_settled(self, submitted_s: float) -> float:
+        """Return when no run of a job that was submitted again can be alive unknown to this host.
 
-        Upstreams of other failure domains may run tasks of the job under their own leader, so a
-        host that doesn't lead them all waits until such runs have ended.
+        The job may arrive before the term that brought it here, so its own wait counts as well.
         """
-        if now_s >= self._settled_s:
-            return True
+        return max(self._settled_s, submitted_s + SETTLING_S)
+
+    @property
+    def knows_all_runs(self) -> bool:
+        """Return whether the runs of every upstream of every failure domain are known."""
         return self.leads_all and all(session.synced for session in self)
 
     def start(self, group: TaskGroup) -> None:
--- a/packages/execution/src/fireflybridge_execution/_scheduler.py
+++ b/packages/execution/src/fireflybridge_execution/_scheduler.py
@@ -39,6 +39,7 @@
 
 PLACEMENT_RETRY_S = 0.02  # re-examines pauses of upstreams while work waits
 SKIPPED_NUMBERS = 8  # after an upstream has seen a later run of the task than this host knows
+JOIN_WAIT_S = 0.1  # a job may arrive shortly before the term that lets this host lead all
 JOBS_TRIED = 8  # waiting jobs examined once a job ahead of them found no room
 
 
@@ -199,7 +200,7 @@
         for active in waiting:
             if not candidates or not tries:
                 return
-            if active.resubmitted and not self._roster.has_settled(now_s):
+            if not self._is_settled(active, now_s):
                 continue
             placements = self._placer.place(active, candidates, now_s)
             if placements:
@@ -218,12 +219,22 @@
             elif self._stays_unsettled(active, now_s):
                 self._give_up(active, "its earlier runs can't be ruled out in time")
 
+    def _is_settled(self, active: ActiveJob, now_s: float) -> bool:
+        """Return whether no run of the job can be alive without this host's knowledge.
+
+        Upstreams of other failure domains may run its tasks under their own leader, so a host
+        that doesn't lead them all waits until such runs have ended.
+        """
+        if not active.resubmitted or self._roster.knows_all_runs:
+            return True
+        return now_s >= self._roster.compute_settled(active.submitted_s)
+
     def _stays_unsettled(self, active: ActiveJob, now_s: float) -> bool:
         return (
-            active.resubmitted
+            not self._is_settled(active, now_s)
             and not self._roster.leads_all
-            and now_s < self._roster.settled_s
-            and self._roster.settled_s > active.deadline_s
+            and self._roster.compute_settled(active.submitted_s) > active.deadline_s
+            and now_s > active.submitted_s + JOIN_WAIT_S
         )
 
     def _give_up(self, active: ActiveJob, reason: str) -> None:
--- a/packages/host/src/fireflybridge_host/_campaign.py
+++ b/packages/host/src/fireflybridge_host/_campaign.py
@@ -82,6 +82,7 @@
     async def hand_over(self) -> None:
         """Give what this host leads to the strongest host that it hears, and claim no more."""
         self._draining = True
+        self._link.start_draining()
         successor = self._peers.find_strongest()
         if successor is None:
             return
--- a/packages/leadership/src/fireflybridge_leadership/_leadership.py
+++ b/packages/leadership/src/fireflybridge_leadership/_leadership.py
@@ -73,6 +73,9 @@
         try:
             with anyio.fail_after(CLAIM_TIMEOUT_S):
                 result = await self._store.append(domains, holder, self._end)
+                if isinstance(result, Conflict):
+                    # The long poll may hear of it late.
+                    self._accept(await self._store.read_since(self._end, 0))
         except TimeoutError:
             self._on_error(StoreError("append of a term timed out"))
             return ClaimResult.UNREACHABLE
