--- a/features/steps/site.py
+++ b/features/steps/site.py
@@ -13,6 +13,7 @@
 from support.site import SiteDeployment, count_starts, find_overlaps
 
 CHANGE_LIMIT_S = 10.0
+HEARTBEATS_S = 0.6  # four heartbeats; a drain takes a second or more
 
 
 def start_site(context: Context, **plan: int) -> None:
@@ -112,6 +113,9 @@
 @when('the leader is terminated while host "{host}" drains')
 def _(context: Context, host: str) -> None:
     wait_until(lambda: context.deployment.read_events(host, 7003), detail="drain started")
+    # The leader hears of the drain with the next heartbeat, which no log line shows.
+    time.sleep(HEARTBEATS_S)
+    assert context.deployment.hosts[host].is_running(), f"{host} has stopped"
     context.deployment.hosts[context.leader].terminate()
     wait_until(
         lambda: context.deployment.read_events(context.leader, 7404),
