Don't extend the lease of runs that a new leader hasn't adopted

The leader of a failure domain that was cut off held its upstreams before it had adopted or stopped the runs it found there, and each hold extended their lease. The old leader reckoned their end from its own last hold and started the tasks again 45 ms before the runs ended. Holds carry no lease now while such runs are alive. features/decisions.feature, "A new leader doesn't extend the lease", failed before.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -99,3 +99,9 @@
     Then none of its tasks is started
     When the host leads "z2" as well and knows the runs there
     Then the job's task that runs in "z2" is adopted and the other is started once
+
+  Scenario: A new leader doesn't extend the lease of runs that it hasn't adopted
+    # Guards against a run that outlives its lease for the old leader, which starts its task again.
+    Given a host that begins to lead an upstream with a run of an earlier leader
+    When it has asked the upstream for its runs several times
+    Then no hold extended the lease
--- a/features/steps/decisions.py
+++ b/features/steps/decisions.py
@@ -398,3 +398,48 @@
     started = [order.task.index for u in context.memory.values() for order in u.started]
     assert started == [1], started
     assert context.answer == Succeeded(), context.answer
+
+
+class WatchedUpstream(MemoryUpstream):
+    """An upstream whose run of an earlier leader goes on, and that keeps the holds it got."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.holds: list[Hold] = []
+
+    async def hold(self, order: Hold, timeout_s: float) -> RunReport:
+        """List the run of the earlier leader."""
+        self.holds.append(order)
+        await anyio.sleep(0.01)
+        return RunReport(1000.0, 1, (RunningRun(TaskId("1" * 16, 0, 0, 0), 1, 10),), ())
+
+
+@given("a host that begins to lead an upstream with a run of an earlier leader")
+def _(context: Context) -> None:
+    context.upstream = WatchedUpstream()
+
+
+@when("it has asked the upstream for its runs several times")
+def _(context: Context) -> None:
+    anyio.run(watch_upstream, context.upstream)
+
+
+async def watch_upstream(upstream: WatchedUpstream) -> None:
+    """Lead an upstream until it got three holds."""
+    info = UpstreamInfo("u1", "desk", "u1:1", "z1", UpstreamState.READY, ROOM)
+    connector = MemoryConnector({"u1": upstream})
+    scheduler = Scheduler(connector, lambda _event: None, lambda: None, ("z1",))
+    async with anyio.create_task_group() as group:
+        group.start_soon(scheduler.serve)
+        scheduler.lead({"z1": 1000})
+        scheduler.set_upstreams(DirectoryView({"u1": info}))
+        with anyio.move_on_after(5):
+            while len(upstream.holds) < 3:
+                await anyio.sleep(0.01)
+        group.cancel_scope.cancel()
+
+
+@then("no hold extended the lease")
+def _(context: Context) -> None:
+    leases = [hold.lease_until_ms for hold in context.upstream.holds]
+    assert leases == [None] * 3, leases
--- a/packages/execution/src/fireflybridge_execution/_session.py
+++ b/packages/execution/src/fireflybridge_execution/_session.py
@@ -192,7 +192,8 @@
         A call without an answer may have arrived, so a lease that each of them extends would
         never be known to have ended.
         """
-        if self._clock is None or self._silent:
+        if self._clock is None or self._silent or self.book.has_foreign:
+            # An earlier leader that is cut off counts on the end of its runs' lease.
             return None
         self._lease_end_s = now_s + LEASE_MS / 1000 * CLOCK_DRIFT
         return self._clock.estimate_ms(now_s) + LEASE_MS
