--- a/packages/entry/src/fireflybridge_entry/_submission.py
+++ b/packages/entry/src/fireflybridge_entry/_submission.py
@@ -10,12 +10,11 @@
 from fireflybridge_http import ConnectionPool, ExchangeError
 from fireflybridge_jobs import Answer, Job, Moved, NotRun, RefusalReason, TimedOut
 from fireflybridge_leadership import Notifier
-from fireflybridge_placement import compute_chain_ms, compute_objective_ms
+from fireflybridge_placement import RETRY_AFTER_S, compute_chain_ms, compute_objective_ms
 
 KEPT_CONNECTIONS = 32
 LEADER_WAIT_SHARE = 0.24  # share of its objective that a job may wait for a leader
 ANSWER_MARGIN_S = 0.1  # the leader answers at the deadline; its answer takes a moment
-RETRY_AFTER_S = 1
 
 
 @dataclass(frozen=True, slots=True)
