Send a cancellation once there is a link to the peer

Cause: Forwarding.cancel dropped the result of its sends. A peer that is heard and has no link yet made them fail with UnknownPeer, while the query that follows waits for the link, so the caller got 202 for a cancellation that never left the daemon. Before: features/recovery.feature, 'A cancellation waits for the link to a peer that is heard already', failed (1 failed of 14 in the file). After: passed.

--- a/features/recovery.feature
+++ b/features/recovery.feature
@@ -81,3 +81,8 @@
   Scenario: A question waits for the link to a peer that is heard already
     When a question goes to a peer that is heard 3 polls before it has a link
     Then its answer is the peer's
+
+  # Guards against a DELETE that is answered 202 and never reaches the daemon that runs the job.
+  Scenario: A cancellation waits for the link to a peer that is heard already
+    When a cancellation goes to a peer that is heard 3 polls before it has a link
+    Then the peer gets the cancellation once
--- a/features/steps/moves.py
+++ b/features/steps/moves.py
@@ -17,7 +17,7 @@
 from fireflybridge_daemon._mover import Mover
 from fireflybridge_daemon._replies import Replies
 from fireflybridge_peers import Answer as AnswerMessage
-from fireflybridge_peers import Lost, Message, PeerStalled, Pull, SendFailure, UnknownPeer
+from fireflybridge_peers import Cancel, Lost, Message, PeerStalled, Pull, SendFailure, UnknownPeer
 from fireflybridge_telemetry import Metrics, Tracer
 
 FIRST = "first"
@@ -196,3 +196,28 @@
 @then("its answer is the peer's")
 def check_asked_answer(context: Context) -> None:
     assert context.answer == Pending(), context.answer
+
+
+@when("a cancellation goes to a peer that is heard {polls:d} polls before it has a link")
+def cancel_unlinked(context: Context, polls: int) -> None:
+    tries: list[Message] = []
+    context.delivered = []
+
+    def send(peer: str, message: Message) -> Result[None, SendFailure]:
+        tries.append(message)
+        if len(tries) <= polls:
+            return Err(UnknownPeer(peer))
+        context.delivered.append(message)
+        return Ok(None)
+
+    async def cancel() -> None:
+        directory = SimpleNamespace(list_peers=lambda: ("p",), send=send)
+        async with anyio.create_task_group() as group:
+            Forwarding(directory, Replies(send), group, Tracer(0.0, None)).cancel("key")
+
+    anyio.run(cancel)
+
+
+@then("the peer gets the cancellation once")
+def check_cancellation(context: Context) -> None:
+    assert context.delivered == [Cancel(("key",))], context.delivered
--- a/packages/daemon/src/fireflybridge_daemon/_forwarding.py
+++ b/packages/daemon/src/fireflybridge_daemon/_forwarding.py
@@ -22,7 +22,7 @@
 from fireflybridge_daemon._replies import Replies
 from fireflybridge_peers import Answer as AnswerMessage
 from fireflybridge_peers import Cancel, Fetch, Lost, Message, SendFailure, UnknownPeer
-from fireflybridge_telemetry import SpanKind, Tracer, find_context
+from fireflybridge_telemetry import Event, SpanKind, Tracer, find_context, log_event
 
 # The executor answers at the submission's deadline; this much later it counts as unreachable.
 ANSWER_MARGIN_S = 2.0
@@ -116,9 +116,13 @@
         return Refused(Problem.UNKNOWN_KEY, Ran.MAY_HAVE_RUN, detail)
 
     def cancel(self, key: str) -> None:
-        """Ask every peer to drop the submission's tasks that have not started."""
+        """Ask every peer to drop the submission's tasks that have not started.
+
+        A peer that is heard and has no link yet gets the request once it has one: its daemon may
+        be the executor, whose caller is told that the cancellation was taken.
+        """
         for peer in self._directory.list_peers():
-            self._directory.send(peer, Cancel((key,)))
+            self._group.start_soon(self._cancel_at, peer, key)
 
     def receive(self, message: AnswerMessage) -> None:
         """Hand a peer's answer to the request that waits for it."""
@@ -157,6 +161,11 @@
         if answer is not None:
             self._replies.send(peer, AnswerMessage(fetch.request_id, answer))
 
+    async def _cancel_at(self, peer: str, key: str) -> None:
+        match await self._send_linked(peer, Cancel((key,))):
+            case Err(failure):
+                log_event(Event.CANCELLATION_UNSENT, peer=peer, reason=repr(failure))
+
     async def _query_peer(
         self, peer: str, question: Submission, found: list[Answer], scope: anyio.CancelScope
     ) -> None:
@@ -176,7 +185,8 @@
         waiter = _Waiter(peer, executor, digest, submission)
         self._waiting[request_id] = waiter
         try:
-            if isinstance(await self._send_linked(request_id, waiter), Err):
+            question = Fetch(request_id, digest, submission)
+            if isinstance(await self._send_linked(peer, question), Err):
                 return Unsent()
             with anyio.move_on_after(limit_s):
                 await waiter.answered.wait()
@@ -184,16 +194,16 @@
         finally:
             del self._waiting[request_id]
 
-    async def _send_linked(self, request_id: int, waiter: "_Waiter") -> Result[None, SendFailure]:
-        """Send a question once there is a link to the peer, which may be heard before."""
+    async def _send_linked(self, peer: str, message: Message) -> Result[None, SendFailure]:
+        """Send a message once there is a link to the peer, which may be heard before."""
         with anyio.move_on_after(LINK_WAIT_S):
             while True:
-                match self._send(request_id, waiter):
+                match self._directory.send(peer, message):
                     case Err(UnknownPeer()):
                         await anyio.sleep(LINK_POLL_S)
                     case sent:
                         return sent
-        return Err(UnknownPeer(waiter.peer))
+        return Err(UnknownPeer(peer))
 
     def _send(self, request_id: int, waiter: "_Waiter") -> Result[None, SendFailure]:
         fetch = Fetch(request_id, waiter.digest, waiter.submission)
--- a/packages/telemetry/src/fireflybridge_telemetry/_events.py
+++ b/packages/telemetry/src/fireflybridge_telemetry/_events.py
@@ -58,6 +58,9 @@
         "another daemon runs under this daemon's --name",
         ("setting", "value", "incarnation", "yields"),
     )
+    CANCELLATION_UNSENT = EventEntry(
+        3009, Level.WARNING, "cancellation not sent to peer", ("peer", "reason")
+    )
     UPSTREAM_ACQUIRED = EventEntry(4001, Level.INFO, "upstream acquired", ("pool", "upstream"))
     UPSTREAM_RELEASED = EventEntry(4002, Level.INFO, "upstream released", ("pool", "upstream"))
     UPSTREAM_EJECTED = EventEntry(4003, Level.WARNING, "upstream ejected", ("pool", "upstream"))
