Tell a job's next leader where its runs are, and count expired upstreams as unknown

Ruled out: late orders (each start had its answer), and an adoption that was too slow. Change: a leader that hands over names the upstreams that run a job, and the next one waits for exactly these. After a loss without a hand-over, an upstream that has left the directory within 15 s, or a directory read before the term, leaves runs unknown. An entry host gives a leader that hands over 0.1 s to answer before it submits again.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -100,6 +100,24 @@
     When the host leads "z2" as well and knows the runs there
     Then the job's task that runs in "z2" is adopted and the other is started once
 
+  Scenario: A job that is handed over waits for the upstream that runs it
+    # Guards against a second run beside one on an upstream whose entry has just expired.
+    Given a host that leads every failure domain and whose directory lacks an upstream of it
+    When the host that led before hands over a job that runs there
+    Then none of its tasks is started
+    And the job's task that runs in "z2" is adopted and the other is started once
+
+  Scenario: A lost leader's job is not started beside runs on an upstream whose entry has expired
+    # Guards against a second run on an upstream that a cut-off leader still knows.
+    Given a host that leads every failure domain and whose directory lacks an upstream of it
+    When a lost leader's job is submitted to it
+    Then the job is given up without a start
+
+  Scenario: A leader that hands over tells where a job's runs are
+    Given a leader with a job under way on one of two upstreams
+    When it leads no more
+    Then the job's answer names the upstream that runs it
+
   Scenario: A new leader doesn't extend the lease of runs that it hasn't adopted
     # Guards against a run that outlives its lease for the old leader, which starts its task again.
     Given a host that begins to lead an upstream with a run of an earlier leader
--- a/features/steps/decisions.py
+++ b/features/steps/decisions.py
@@ -1,5 +1,6 @@
 """Steps on the decisions of a leader, without any process."""
 
+import time
 from dataclasses import replace
 from itertools import permutations
 
@@ -9,9 +10,11 @@
 
 from fireflybridge_execution import Accepted, DirectoryView, Hold, Scheduler, Start, Stop
 from fireflybridge_jobs import (
+    EarlierRuns,
     EndedRun,
     Ending,
     Job,
+    Moved,
     QueuePolicy,
     Resources,
     RunningRun,
@@ -19,6 +22,7 @@
     Step,
     Succeeded,
     TaskId,
+    TimedOut,
     UpstreamInfo,
     UpstreamState,
 )
@@ -340,6 +344,15 @@
         return self._upstreams[upstream.id]
 
 
+class BusyUpstream(MemoryUpstream):
+    """An upstream whose runs go on."""
+
+    async def hold(self, order: Hold, timeout_s: float) -> RunReport:
+        """List the runs."""
+        await anyio.sleep(0.01)
+        return RunReport(1000.0, 1, tuple(self.running), ())
+
+
 LONG_LED_S = 2.2  # longer than runs of an earlier leader may live
 SHORTLY_S = 0.08  # shorter than the wait for a term that is on its way
 
@@ -357,30 +370,120 @@
 
 async def submit_again(context: Context) -> None:
     """Submit a job again to the leader of z1, then let it lead z2 too."""
-    infos = {
+    infos = describe_upstreams(context)
+    scheduler = make_scheduler(context)
+    async with anyio.create_task_group() as group:
+        group.start_soon(scheduler.serve)
+        scheduler.lead({"z1": 1000})
+        scheduler.set_upstreams(DirectoryView(infos, time.monotonic()))
+        await anyio.sleep(LONG_LED_S)
+        group.start_soon(submit_job, context, scheduler, EarlierRuns(frozenset({"z2"})))
+        await anyio.sleep(SHORTLY_S)
+        note_early_starts(context)
+        scheduler.lead({"z1": 1000, "z2": 2000})
+        await wait_for_answer(context)
+        group.cancel_scope.cancel()
+
+
+def describe_upstreams(context: Context) -> dict[str, UpstreamInfo]:
+    return {
         name: UpstreamInfo(name, "desk", f"{name}:1", name, UpstreamState.READY, ROOM)
         for name in context.memory
     }
+
+
+def make_scheduler(context: Context) -> Scheduler:
     connector = MemoryConnector(context.memory)
-    scheduler = Scheduler(connector, lambda _event: None, lambda: None, infos)
+    return Scheduler(connector, lambda _event: None, lambda: None, context.memory)
+
+
+async def submit_job(context: Context, scheduler: Scheduler, earlier: EarlierRuns | None) -> None:
     job = replace(make_job(1000), steps=(Step(2, NEEDS, 50),))
+    context.answer = await scheduler.submit(job, 0.0, earlier)
+
+
+def note_early_starts(context: Context) -> None:
+    context.early_starts = [order for u in context.memory.values() for order in u.started]
+
+
+async def wait_for_answer(context: Context) -> None:
+    with anyio.move_on_after(5):
+        while not hasattr(context, "answer"):
+            await anyio.sleep(0.01)
+
+
+@given("a host that leads every failure domain and whose directory lacks an upstream of it")
+def _(context: Context) -> None:
+    earlier = RunningRun(TaskId("0" * 16, 0, 0, 0), 1, 10)
+    context.memory = {"z1": MemoryUpstream(), "z2": MemoryUpstream((earlier,))}
+
+
+@when("the host that led before hands over a job that runs there")
+def _(context: Context) -> None:
+    anyio.run(take_over, context, EarlierRuns(frozenset({"z2"})))
+
+
+@when("a lost leader's job is submitted to it")
+def _(context: Context) -> None:
+    anyio.run(take_over, context, EarlierRuns())
+
+
+async def take_over(context: Context, earlier: EarlierRuns) -> None:
+    """Submit a job while the entry of z2 has expired, then let the entry come back."""
+    infos = describe_upstreams(context)
+    remaining = {"z1": infos["z1"]}
+    scheduler = make_scheduler(context)
     async with anyio.create_task_group() as group:
         group.start_soon(scheduler.serve)
-        scheduler.lead({"z1": 1000})
-        scheduler.set_upstreams(DirectoryView(infos))
-        await anyio.sleep(LONG_LED_S)
-        group.start_soon(submit_job, context, scheduler, job)
+        scheduler.set_upstreams(DirectoryView(infos, time.monotonic()))
+        scheduler.set_upstreams(DirectoryView(remaining, time.monotonic()))
+        scheduler.lead({"z1": 1000, "z2": 2000})
+        scheduler.set_upstreams(DirectoryView(remaining, time.monotonic()))
+        group.start_soon(submit_job, context, scheduler, earlier)
         await anyio.sleep(SHORTLY_S)
-        context.early_starts = [*context.memory["z1"].started, *context.memory["z2"].started]
+        note_early_starts(context)
+        scheduler.set_upstreams(DirectoryView(infos, time.monotonic()))
+        await wait_for_answer(context)
+        group.cancel_scope.cancel()
+
+
+@then("the job is given up without a start")
+def _(context: Context) -> None:
+    assert not any(u.started for u in context.memory.values())
+    assert isinstance(context.answer, TimedOut), context.answer
+
+
+@given("a leader with a job under way on one of two upstreams")
+def _(context: Context) -> None:
+    context.memory = {"z1": BusyUpstream(), "z2": MemoryUpstream()}
+
+
+@when("it leads no more")
+def _(context: Context) -> None:
+    anyio.run(lead_no_more, context)
+
+
+async def lead_no_more(context: Context) -> None:
+    """Lead until a job of one task runs, and then nothing."""
+    infos = describe_upstreams(context)
+    scheduler = make_scheduler(context)
+    async with anyio.create_task_group() as group:
+        group.start_soon(scheduler.serve)
         scheduler.lead({"z1": 1000, "z2": 2000})
+        scheduler.set_upstreams(DirectoryView({"z1": infos["z1"]}, time.monotonic()))
+        group.start_soon(submit_job, context, scheduler, None)
         with anyio.move_on_after(5):
-            while not hasattr(context, "answer"):
+            while len(context.memory["z1"].started) < 2:
                 await anyio.sleep(0.01)
+        scheduler.set_upstreams(DirectoryView(infos, time.monotonic()))
+        scheduler.lead({})
+        await wait_for_answer(context)
         group.cancel_scope.cancel()
 
 
-async def submit_job(context: Context, scheduler: Scheduler, job: Job) -> None:
-    context.answer = await scheduler.submit(job, 0.0, resubmitted=True)
+@then("the job's answer names the upstream that runs it")
+def _(context: Context) -> None:
+    assert context.answer == Moved(EarlierRuns(frozenset({"z1"}))), context.answer
 
 
 @then("none of its tasks is started")
@@ -432,7 +535,7 @@
     async with anyio.create_task_group() as group:
         group.start_soon(scheduler.serve)
         scheduler.lead({"z1": 1000})
-        scheduler.set_upstreams(DirectoryView({"u1": info}))
+        scheduler.set_upstreams(DirectoryView({"u1": info}, time.monotonic()))
         with anyio.move_on_after(5):
             while len(upstream.holds) < 3:
                 await anyio.sleep(0.01)
--- a/packages/entry/src/fireflybridge_entry/_codec.py
+++ b/packages/entry/src/fireflybridge_entry/_codec.py
@@ -8,6 +8,7 @@
 from fireflybridge_http import Request, Response
 from fireflybridge_jobs import (
     Answer,
+    EarlierRuns,
     Failed,
     Job,
     Moved,
@@ -28,12 +29,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Submission:
-    """Hold a job on its way to the leader; ``age_ms`` counts from its receipt by the sender."""
+    """Hold a job on its way to the leader; ``age_ms`` counts from its receipt by the sender.
+
+    ``earlier`` is None for a job of which nothing was started under another leader.
+    """
 
     sender: str
     job: Job
     age_ms: float
-    resubmitted: bool
+    earlier: EarlierRuns | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,6 +67,7 @@
     kind: str
     reason: str = ""
     retry_after_s: int = 0
+    earlier: EarlierRuns | None = None
 
 
 T = TypeVar("T")
@@ -117,8 +122,8 @@
             message = _AnswerMessage("not-run", refusal, retry_after_s)
         case TimedOut(reason=reason):
             message = _AnswerMessage("timed-out", reason)
-        case Moved():
-            message = _AnswerMessage("moved")
+        case Moved(earlier=earlier):
+            message = _AnswerMessage("moved", earlier=earlier)
     return Response(200, _encoder.encode(message))
 
 
@@ -136,8 +141,8 @@
             return NotRun(RefusalReason(reason), retry_after_s)
         case _AnswerMessage(kind="timed-out", reason=reason):
             return TimedOut(reason)
-        case _AnswerMessage(kind="moved"):
-            return Moved()
+        case _AnswerMessage(kind="moved", earlier=earlier):
+            return Moved(earlier)
         case _:
             raise CodecError(f"answer of unknown kind {message.kind!r}")
 
--- a/packages/entry/src/fireflybridge_entry/_peer_service.py
+++ b/packages/entry/src/fireflybridge_entry/_peer_service.py
@@ -93,14 +93,14 @@
         except CodecError:
             return Response(400)
         if not self._leadership.find_led_by(self._host.holder):
-            return encode_answer(Moved())
+            return encode_answer(Moved(submission.earlier))
         answer: Answer = TimedOut("the entry host fell silent")
         scopes = self._scopes.setdefault(submission.sender, set())
         with anyio.CancelScope() as scope:
             scopes.add(scope)
             try:
                 answer = await self._scheduler.submit(
-                    submission.job, submission.age_ms / 1000, resubmitted=submission.resubmitted
+                    submission.job, submission.age_ms / 1000, submission.earlier
                 )
             finally:
                 scopes.discard(scope)
--- a/packages/entry/src/fireflybridge_entry/_submission.py
+++ b/packages/entry/src/fireflybridge_entry/_submission.py
@@ -8,13 +8,22 @@
 from fireflybridge_entry._codec import CodecError, Submission, decode_answer, encode_submission
 from fireflybridge_entry._job_scheduler import JobScheduler
 from fireflybridge_http import ConnectionPool, ExchangeError
-from fireflybridge_jobs import Answer, Job, Moved, NotRun, RefusalReason, TimedOut
+from fireflybridge_jobs import (
+    Answer,
+    EarlierRuns,
+    Job,
+    Moved,
+    NotRun,
+    RefusalReason,
+    TimedOut,
+)
 from fireflybridge_leadership import Notifier
 from fireflybridge_placement import RETRY_AFTER_S, compute_chain_ms, compute_objective_ms
 
 KEPT_CONNECTIONS = 32
 LEADER_WAIT_SHARE = 0.24  # share of its objective that a job may wait for a leader
 ANSWER_MARGIN_S = 0.1  # the leader answers at the deadline; its answer takes a moment
+HAND_OVER_ANSWER_S = 0.1  # a leader that hands over says at once where a job's runs are
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,8 +45,8 @@
 class JobSubmitter:
     """Submit jobs to the leader; a job survives a change of the leader.
 
-    A job that may have reached a lost leader is marked as submitted again, so that the next
-    leader adopts its runs instead of starting the tasks a second time beside them.
+    A job that may have reached a lost leader is submitted again with what is known of its earlier
+    runs, so that the next leader adopts them instead of starting the tasks a second time.
     """
 
     def __init__(self, host: str, scheduler: JobScheduler) -> None:
@@ -49,12 +58,18 @@
         self._exchanges: set[anyio.CancelScope] = set()
 
     def set_leader(self, leader: Leader) -> None:
-        """Submit to this leader from now on; exchanges with the one before are given up."""
+        """Submit to this leader from now on; exchanges with the one before are given up.
+
+        A lost leader gets no time to answer. One that hands over does, since its answers say
+        where the runs are, and the next leader need not wait for what it can't know.
+        """
         if leader == self._leader:
             return
         self._leader = leader
+        patience_s = 0.0 if leader is None else HAND_OVER_ANSWER_S
+        limit_s = anyio.current_time() + patience_s
         for scope in self._exchanges:
-            scope.cancel()
+            scope.deadline = min(scope.deadline, limit_s)
         self._changed.notify()
 
     @property
@@ -67,7 +82,7 @@
         received_s = time.monotonic()
         deadline_s = received_s + min(job.wait_ms, job.policy.timeout_ms) / 1000
         patience_s = LEADER_WAIT_SHARE * compute_objective_ms(job, compute_chain_ms(job)) / 1000
-        resubmitted = False
+        earlier: EarlierRuns | None = None
         while time.monotonic() < deadline_s:
             leader = await self._wait_for_leader(min(deadline_s, time.monotonic() + patience_s))
             match leader:
@@ -75,23 +90,23 @@
                     break
                 case LocalLeader():
                     age_s = time.monotonic() - received_s
-                    answer = await self._scheduler.submit(job, age_s, resubmitted=resubmitted)
+                    answer = await self._scheduler.submit(job, age_s, earlier)
                     if not isinstance(answer, Moved):
                         return answer
-                    resubmitted = True
+                    earlier = answer.earlier
                 case RemoteLeader():
                     age_s = time.monotonic() - received_s
-                    submission = Submission(self._host, job, age_s * 1000, resubmitted)
+                    submission = Submission(self._host, job, age_s * 1000, earlier)
                     reply = await self._exchange(leader, submission, deadline_s)
                     match reply:
-                        case Moved():
-                            resubmitted = True
+                        case Moved(earlier=earlier):
+                            pass
                         case _Unsent():
                             pass
                         case _:
                             return reply
             await self._wait_while_current(leader)
-        if resubmitted:
+        if earlier is not None:
             return TimedOut("no leader took the job in time")
         return NotRun(RefusalReason.NO_LEADER, RETRY_AFTER_S)
 
--- a/packages/execution/src/fireflybridge_execution/_active_job.py
+++ b/packages/execution/src/fireflybridge_execution/_active_job.py
@@ -8,7 +8,7 @@
 
 import anyio
 
-from fireflybridge_jobs import Answer, Job, Step, Succeeded, TaskId
+from fireflybridge_jobs import Answer, EarlierRuns, Job, Step, Succeeded, TaskId
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,15 +22,15 @@
 class ActiveJob:
     """Keep which tasks of a job wait, run and are done, until the job has its answer."""
 
-    def __init__(self, job: Job, received_s: float, *, resubmitted: bool) -> None:
+    def __init__(self, job: Job, received_s: float, earlier: EarlierRuns | None) -> None:
         self.job = job
         self.received_s = received_s
         self.submitted_s = time.monotonic()
         self.deadline_s = received_s + min(job.wait_ms, job.policy.timeout_ms) / 1000
-        self.resubmitted = resubmitted
+        self.earlier = earlier
         self.takes_any_speed = False
         self.waiters = 0
-        self.may_have_run = resubmitted
+        self.may_have_run = earlier is not None
         self.waiting: deque[TaskId] = deque()
         self.runs: dict[TaskId, PlacedRun] = {}
         self.failed_runs = 0
--- a/packages/execution/src/fireflybridge_execution/_directory.py
+++ b/packages/execution/src/fireflybridge_execution/_directory.py
@@ -18,9 +18,10 @@
 
 @dataclass(frozen=True, slots=True)
 class DirectoryView:
-    """Hold the upstreams by id."""
+    """Hold the upstreams by id, and the steady time at which the newest read of them began."""
 
     upstreams: Mapping[str, UpstreamInfo]
+    read_s: float
 
 
 class DirectorySource(Protocol):
@@ -37,11 +38,11 @@
     def __init__(
         self,
         source: DirectorySource,
-        on_change: Callable[[DirectoryView], None],
+        on_read: Callable[[DirectoryView], None],
         on_error: Callable[[StoreError], None],
     ) -> None:
         self._source = source
-        self._on_change = on_change
+        self._on_read = on_read
         self._on_error = on_error
         self._view: Mapping[str, UpstreamInfo] = {}
         self._trouble_s = -REMOVAL_GRACE_S
@@ -55,10 +56,11 @@
         self._leading = leading
 
     async def follow(self) -> None:
-        """Report each change of the view until cancelled."""
+        """Report the view after each read until cancelled."""
         while True:
+            read_s = time.monotonic()
             try:
-                self._take(await self._source.refresh())
+                self._take(await self._source.refresh(), read_s)
                 await self._pause()
             except StoreError as error:
                 self._trouble_s = time.monotonic()
@@ -70,10 +72,7 @@
         with anyio.move_on_after(REFRESH_S if self._leading else STANDBY_REFRESH_S):
             await self._hastened.wait()
 
-    def _take(self, found: Mapping[str, UpstreamInfo]) -> None:
-        view = dict(found)
-        if time.monotonic() < self._trouble_s + REMOVAL_GRACE_S:
-            view = {**self._view, **view}
-        if view != self._view:
-            self._view = view
-            self._on_change(DirectoryView(view))
+    def _take(self, found: Mapping[str, UpstreamInfo], read_s: float) -> None:
+        kept = self._view if time.monotonic() < self._trouble_s + REMOVAL_GRACE_S else {}
+        self._view = {**kept, **found}
+        self._on_read(DirectoryView(self._view, read_s))
--- a/packages/execution/src/fireflybridge_execution/_events.py
+++ b/packages/execution/src/fireflybridge_execution/_events.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from fireflybridge_jobs import Answer, TaskId
+from fireflybridge_jobs import Answer, EarlierRuns, TaskId
 from fireflybridge_placement import Progress
 
 
@@ -15,7 +15,7 @@
     tasks: int
     chain_ms: float
     queued_jobs: int
-    resubmitted: bool
+    earlier: EarlierRuns | None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/execution/src/fireflybridge_execution/_roster.py
+++ b/packages/execution/src/fireflybridge_execution/_roster.py
@@ -2,18 +2,21 @@
 
 import time
 from collections.abc import Callable, Iterable, Iterator, Mapping
+from itertools import chain
 
 import anyio
 from anyio.abc import TaskGroup
 
+from fireflybridge_execution._directory import DirectoryView
 from fireflybridge_execution._live_runs import LiveRuns
 from fireflybridge_execution._orders import OrderConnector
 from fireflybridge_execution._run_book import Run
 from fireflybridge_execution._run_listener import RunListener
 from fireflybridge_execution._session import UpstreamSession
-from fireflybridge_jobs import Resources, UpstreamInfo
+from fireflybridge_jobs import EarlierRuns, Resources, UpstreamInfo
 
 SETTLING_S = 2.0  # a lease of an earlier leader and the adoption wait of another new one
+DEPARTURE_S = 15.0  # a cut-off leader keeps upstreams whose entries expired for all others
 
 
 class SessionRoster:
@@ -35,7 +38,10 @@
         self._fences: Mapping[str, int] = {}
         self._upstreams: Mapping[str, UpstreamInfo] = {}
         self._sessions: dict[str, UpstreamSession] = {}
-        self._settled_s = 0.0
+        self._gained_s = 0.0
+        self._read_s = 0.0
+        self._departed_s = time.monotonic()
+        self._retired: set[UpstreamSession] = set()
         self._group: TaskGroup | None = None
 
     def __iter__(self) -> Iterator[UpstreamSession]:
@@ -69,12 +75,42 @@
 
         The job may arrive before the term that brought it here, so its own wait counts as well.
         """
-        return max(self._settled_s, submitted_s + SETTLING_S)
+        return max(self._gained_s, submitted_s) + SETTLING_S
+
+    def knows_runs(self, earlier: EarlierRuns) -> bool:
+        """Return whether every upstream that may have such a run has listed its runs."""
+        match earlier.upstreams:
+            case None:
+                return self._sees_all_upstreams and all(session.synced for session in self)
+            case upstreams:
+                found = map(self.find, upstreams)
+                return all(session is not None and session.synced for session in found)
+
+    def can_learn_runs(self, earlier: EarlierRuns) -> bool:
+        """Return whether the upstreams that may have such a run are all led by this host."""
+        match earlier.upstreams:
+            case None:
+                return self._sees_all_upstreams
+            case upstreams:
+                return upstreams <= self._sessions.keys()
 
     @property
-    def knows_all_runs(self) -> bool:
-        """Return whether the runs of every upstream of every failure domain are known."""
-        return self.leads_all and all(session.synced for session in self)
+    def _sees_all_upstreams(self) -> bool:
+        """Return whether no upstream has orders of an earlier leader unknown to this host.
+
+        An upstream whose entry has expired may be alive and obey a leader that still knows it, and
+        a view from before this host's terms may lack upstreams that have come since.
+        """
+        return (
+            self.leads_all
+            and self._read_s > self._gained_s
+            and time.monotonic() > self._departed_s + DEPARTURE_S
+        )
+
+    def list_running(self, job: str) -> frozenset[str]:
+        """Return the upstreams on which a run of a job may be alive, also those led no more."""
+        sessions = chain(self, self._retired)
+        return frozenset(session.info.id for session in sessions if session.book.has_job(job))
 
     def start(self, group: TaskGroup) -> None:
         """Run the sessions as tasks of a group."""
@@ -86,13 +122,18 @@
         if dict(fences) == dict(self._fences):
             return False
         self._fences = dict(fences)
-        self._settled_s = time.monotonic() + SETTLING_S
+        self._gained_s = time.monotonic()
         self._reconcile()
         return True
 
-    def set_upstreams(self, upstreams: Mapping[str, UpstreamInfo]) -> None:
+    def set_upstreams(self, view: DirectoryView) -> None:
         """Take the newest view of the upstreams."""
-        self._upstreams = upstreams
+        self._read_s = view.read_s
+        if view.upstreams == self._upstreams:
+            return
+        if self._upstreams.keys() - view.upstreams.keys():
+            self._departed_s = time.monotonic()
+        self._upstreams = view.upstreams
         self._reconcile()
 
     def _reconcile(self) -> None:
@@ -128,9 +169,11 @@
         del self._sessions[session.info.id]
         session.close()
         if self._group is not None:
+            self._retired.add(session)
             self._group.start_soon(self._outwait_lease, session)
 
     async def _outwait_lease(self, session: UpstreamSession) -> None:
         await anyio.sleep(max(session.lease_end_s - time.monotonic(), 0))
+        self._retired.discard(session)
         for run in session.book.forget_all():
             self._on_lost(session.info.id, run)
--- a/packages/execution/src/fireflybridge_execution/_run_book.py
+++ b/packages/execution/src/fireflybridge_execution/_run_book.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum, auto
+from itertools import chain
 
 from fireflybridge_execution._live_runs import LiveRuns
 from fireflybridge_jobs import Resources, RunningRun, TaskId
@@ -78,6 +79,10 @@
         """Return whether no run is alive."""
         return not self._runs and not self._foreign
 
+    def has_job(self, job: str) -> bool:
+        """Return whether a run of a job is alive, whoever started it."""
+        return any(task.job == job for task, _ in chain(self._runs, self._foreign))
+
     def find(self, key: RunKey) -> Run | None:
         """Return an own run."""
         return self._runs.get(key)
--- a/packages/execution/src/fireflybridge_execution/_scheduler.py
+++ b/packages/execution/src/fireflybridge_execution/_scheduler.py
@@ -24,6 +24,7 @@
 from fireflybridge_execution._run_book import Run
 from fireflybridge_jobs import (
     Answer,
+    EarlierRuns,
     EndedRun,
     Ending,
     Failed,
@@ -87,21 +88,21 @@
         """
         if self._roster.lead(fences) and not fences:
             for active in list(self._jobs.values()):
-                active.give_answer(Moved())
+                active.give_answer(Moved(self._find_earlier_runs(active)))
 
     def set_upstreams(self, view: DirectoryView) -> None:
         """Take the newest view of the upstreams."""
-        self._roster.set_upstreams(view.upstreams)
+        self._roster.set_upstreams(view)
         self._placer.estimates.retain(view.upstreams.keys())
         self._place()
 
-    async def submit(self, job: Job, age_s: float, *, resubmitted: bool) -> Answer:
+    async def submit(self, job: Job, age_s: float, earlier: EarlierRuns | None) -> Answer:
         """Return the answer to a job that its entry host received ``age_s`` ago.
 
-        A job that is cancelled while it waits here has its runs stopped. A second submission of
+        ``earlier`` says where runs that another leader started may be alive. A job that is cancelled while it waits here has its runs stopped. A second submission of
         the same job shares the answer of the first.
         """
-        active = self._jobs.get(job.id) or self._receive(job, age_s, resubmitted=resubmitted)
+        active = self._jobs.get(job.id) or self._receive(job, age_s, earlier)
         active.waiters += 1
         try:
             return await self._wait_for_answer(active)
@@ -112,8 +113,8 @@
 
     # Jobs
 
-    def _receive(self, job: Job, age_s: float, *, resubmitted: bool) -> ActiveJob:
-        active = ActiveJob(job, time.monotonic() - age_s, resubmitted=resubmitted)
+    def _receive(self, job: Job, age_s: float, earlier: EarlierRuns | None) -> ActiveJob:
+        active = ActiveJob(job, time.monotonic() - age_s, earlier)
         self._on_event(
             JobReceived(
                 job.id,
@@ -121,7 +122,7 @@
                 len(active.waiting),
                 self._placer.expect_chain_ms(job),
                 len(self._queue),
-                resubmitted,
+                earlier,
             )
         )
         self._jobs[job.id] = active
@@ -220,23 +221,30 @@
                 self._give_up(active, "its earlier runs can't be ruled out in time")
 
     def _is_settled(self, active: ActiveJob, now_s: float) -> bool:
-        """Return whether no run of the job can be alive without this host's knowledge.
-
-        Upstreams of other failure domains may run its tasks under their own leader, so a host
-        that doesn't lead them all waits until such runs have ended.
-        """
-        if not active.resubmitted or self._roster.knows_all_runs:
+        """Return whether no run of the job can be alive without this host's knowledge."""
+        if active.earlier is None or self._roster.knows_runs(active.earlier):
             return True
         return now_s >= self._roster.compute_settled(active.submitted_s)
 
     def _stays_unsettled(self, active: ActiveJob, now_s: float) -> bool:
         return (
-            not self._is_settled(active, now_s)
-            and not self._roster.leads_all
+            active.earlier is not None
+            and not self._is_settled(active, now_s)
+            and not self._roster.can_learn_runs(active.earlier)
             and self._roster.compute_settled(active.submitted_s) > active.deadline_s
             and now_s > active.submitted_s + JOIN_WAIT_S
         )
 
+    def _find_earlier_runs(self, active: ActiveJob) -> EarlierRuns | None:
+        """Return where the next leader must look for runs of a job, or None if there never was one."""
+        if not active.may_have_run and not active.runs:
+            return None
+        running = self._roster.list_running(active.job.id)
+        if active.earlier is None or self._is_settled(active, time.monotonic()):
+            return EarlierRuns(running)
+        unknown = active.earlier.upstreams
+        return EarlierRuns(None if unknown is None else unknown | running)
+
     def _give_up(self, active: ActiveJob, reason: str) -> None:
         if active.may_have_run or active.runs:
             active.give_answer(TimedOut(reason))
@@ -334,7 +342,7 @@
     def found_ended(self, upstream: str, run: EndedRun) -> None:
         """Finish a task whose run an earlier leader started."""
         active = self._jobs.get(run.task.job)
-        if active is not None and active.resubmitted and run.ending is Ending.DONE:
+        if active is not None and active.earlier is not None and run.ending is Ending.DONE:
             active.finish(run.task)
 
     def room_changed(self) -> None:
--- a/packages/host/src/fireflybridge_host/_journal.py
+++ b/packages/host/src/fireflybridge_host/_journal.py
@@ -16,7 +16,16 @@
     UpstreamDoubted,
     UpstreamSynced,
 )
-from fireflybridge_jobs import Answer, Failed, Moved, NotRun, Succeeded, TaskId, TimedOut
+from fireflybridge_jobs import (
+    Answer,
+    EarlierRuns,
+    Failed,
+    Moved,
+    NotRun,
+    Succeeded,
+    TaskId,
+    TimedOut,
+)
 from fireflybridge_leadership import ClaimResult, StoreError, Term
 
 LATENCY_BOUNDS_MS = (25.0, 50.0, 100.0, 200.0, 400.0, 800.0, 1600.0, 3200.0)
@@ -63,7 +72,8 @@
                     tasks=event.tasks,
                     chain_ms=round(event.chain_ms),
                     queued_jobs=event.queued_jobs,
-                    resubmitted=event.resubmitted,
+                    resubmitted=event.earlier is not None,
+                    earlier_upstreams=_list_upstreams(event.earlier),
                 )
             case TasksPlaced():
                 self._record_placements(event)
@@ -230,6 +240,12 @@
         )
 
 
+def _list_upstreams(earlier: EarlierRuns | None) -> list[str] | None:
+    """Return the upstreams on which a resubmitted job may run, or None if they aren't known."""
+    known = None if earlier is None else earlier.upstreams
+    return None if known is None else sorted(known)
+
+
 def _format_task(task: TaskId) -> str:
     return f"{task.occurrence}.{task.step}.{task.index}"
 
--- a/packages/jobs/src/fireflybridge_jobs/__init__.py
+++ b/packages/jobs/src/fireflybridge_jobs/__init__.py
@@ -2,6 +2,7 @@
 
 from fireflybridge_jobs._answers import (
     Answer,
+    EarlierRuns,
     Failed,
     Moved,
     NotRun,
@@ -15,6 +16,7 @@
 
 __all__ = [
     "Answer",
+    "EarlierRuns",
     "EndedRun",
     "Ending",
     "Failed",
--- a/packages/jobs/src/fireflybridge_jobs/_answers.py
+++ b/packages/jobs/src/fireflybridge_jobs/_answers.py
@@ -42,9 +42,24 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class EarlierRuns:
+    """Say where runs of an earlier submission of a job may be alive.
+
+    ``upstreams`` holds ids of upstreams; None means that any upstream may have one.
+    """
+
+    upstreams: frozenset[str] | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class Moved:
-    """Ask the entry host to submit the job again to the current leader, which adopts its runs."""
+    """Ask the entry host to submit the job again to the current leader, which adopts its runs.
+
+    ``earlier`` is None if no run of the job was ever started.
+    """
+
+    earlier: EarlierRuns | None = EarlierRuns()
 
 
 Answer = Succeeded | Failed | NotRun | TimedOut | Moved
