--- a/packages/execution/src/fireflybridge_execution/_session.py
+++ b/packages/execution/src/fireflybridge_execution/_session.py
@@ -34,9 +34,8 @@
 )
 from fireflybridge_placement import (
     Health,
+    eject,
     record_failure,
-    record_refusal,
-    record_silence,
     record_success,
 )
 
@@ -249,9 +248,8 @@
             case Ending.DONE:
                 self.health = record_success(self.health)
             case Ending.FAILED:
-                before = self.health
-                self.health = record_failure(self.health, run.task.job, now_s)
-                self._report_ejection(before, "runs failed")
+                failed = record_failure(self.health, run.task.job, now_s)
+                self._replace_health(failed, "runs failed")
             case _:
                 pass
 
@@ -287,27 +285,27 @@
             self._listener.run_lost(self.info.id, run)
 
     def _note_silence(self, error: ExchangeError) -> None:
-        now_s = time.monotonic()
         self._silent = True
-        before = self.health
-        self.health = record_silence(self.health, now_s)
-        self._report_ejection(before, str(error))
-        if now_s > self._lease_end_s:
+        self._eject(str(error))
+        if time.monotonic() > self._lease_end_s:
             self._lose(self.book.list_runs())
 
     def _note_refusal(self, rejection: Rejection) -> None:
-        before = self.health
-        self.health = record_refusal(self.health, time.monotonic())
-        self._report_ejection(before, rejection)
+        self._eject(rejection)
         if rejection is Rejection.OTHER_INCARNATION:
             self._lose(self.book.list_runs())
             self._clock = None
             self._incarnation = 0
             self.synced = False
 
-    def _report_ejection(self, before: Health, reason: str) -> None:
-        if self.health.ejected_until_s != before.ejected_until_s:
-            self._listener.upstream_doubted(self.info.id, reason, self.health.failures)
+    def _eject(self, reason: str) -> None:
+        self._replace_health(eject(self.health, time.monotonic()), reason)
+
+    def _replace_health(self, health: Health, reason: str) -> None:
+        before = self.health
+        self.health = health
+        if health.ejected_until_s != before.ejected_until_s:
+            self._listener.upstream_doubted(self.info.id, reason, health.failures)
 
     # Orders: each task owns one connection.
 
--- a/packages/placement/src/fireflybridge_placement/__init__.py
+++ b/packages/placement/src/fireflybridge_placement/__init__.py
@@ -5,9 +5,8 @@
 from fireflybridge_placement._estimates import Estimates
 from fireflybridge_placement._health import (
     Health,
+    eject,
     record_failure,
-    record_refusal,
-    record_silence,
     record_success,
 )
 from fireflybridge_placement._moves import Progress, TimeLimits, should_move
@@ -26,9 +25,8 @@
     "compute_objective_ms",
     "compute_rank",
     "compute_refusal_time",
+    "eject",
     "record_failure",
-    "record_refusal",
-    "record_silence",
     "record_success",
     "should_move",
 ]
--- a/packages/placement/src/fireflybridge_placement/_health.py
+++ b/packages/placement/src/fireflybridge_placement/_health.py
@@ -38,20 +38,11 @@
         return health
     failures = health.failures + 1
     counted = replace(health, failures=failures, last_failed_job=job)
-    return _eject(counted, now_s) if failures >= FAILURES_TO_EJECT else counted
+    return eject(counted, now_s) if failures >= FAILURES_TO_EJECT else counted
 
 
-def record_silence(health: Health, now_s: float) -> Health:
-    """Return the health after a call got no answer in time."""
-    return _eject(health, now_s)
-
-
-def record_refusal(health: Health, now_s: float) -> Health:
-    """Return the health after the upstream refused a run as unhealthy."""
-    return _eject(health, now_s)
-
-
-def _eject(health: Health, now_s: float) -> Health:
+def eject(health: Health, now_s: float) -> Health:
+    """Return the health after a call without an answer, or refused because of the upstream."""
     if now_s < health.ejected_until_s:
         return health
     return replace(
