Ignore SIGHUP while a host starts

Ruled out: an unready host (its process had ended, exit code -1, and wrote no line). Change: the program ignores SIGHUP before it imports anything else; the host's handler replaces that. Test: features/site.feature, 'A host that gets SIGHUP while it starts goes on'.

--- a/features/site.feature
+++ b/features/site.feature
@@ -173,6 +173,11 @@
     Then every job is answered 200 "succeeded"
     And each host has logged event 7002
 
+  Scenario: A host that gets SIGHUP while it starts goes on
+    # Guards against a process that SIGHUP ends before it handles it (soak seed 11).
+    When the program of a host is started
+    Then SIGHUP is ignored before the host is imported
+
   Scenario: A killed entry host's jobs leave no run behind
     # Guards against runs of a caller that has gone to another host meanwhile.
     Given hosts on a site whose tasks take 5000 ms
--- a/features/soak.py
+++ b/features/soak.py
@@ -28,6 +28,7 @@
 WORK_MS = 100
 JOBS_PER_S = 8  # a third of the room, so that refusals come from faults
 FAULT_GAP_S = 1.2  # faults overlap: each lasts up to 4 s
+READY_LIMIT_S = 20.0  # a lost leader is replaced and joined again within a few seconds
 PERIOD_S = 12.0  # faults, then recovery and the checks
 PAUSES_S = (0.3, 1.0, 3.0)
 LASTS_S = (0.5, 2.0, 4.0)
@@ -57,19 +58,20 @@
     paused: dict[str, float] = field(default_factory=dict)
 
     def play(self) -> list[str]:
-        """Play one period, undo its faults, and return its steps and what they broke."""
+        """Play one period, undo its faults, and return its steps."""
         jobs = [self._make_job() for _ in range(int(JOBS_PER_S * PERIOD_S))]
         count = int(PERIOD_S / FAULT_GAP_S)
         faults = [step for _ in range(count) for step in self._draw_fault()]
         played = play_steps([*jobs, *faults])
-        self._recover()
+        self._undo()
         self.callers.wait_all()
         return played
 
     def find_violations(self) -> list[str]:
         """Return what callers and upstreams saw against the promises."""
         runs = self.deployment.list_runs()
-        return find_violations(self.callers.attempts, runs, self.disturbances)
+        unready = self._wait_ready()
+        return [*unready, *find_violations(self.callers.attempts, runs, self.disturbances)]
 
     def _make_job(self) -> Step:
         hosts = choose_hosts(self.draw, self.deployment.hosts)
@@ -197,8 +199,8 @@
             self.deployment.hosts[host].wait_exit()
             self.deployment.start_host(host)
 
-    def _recover(self) -> None:
-        """Undo every fault and wait until each host takes jobs."""
+    def _undo(self) -> None:
+        """Undo every fault and start the hosts that have ended."""
         deployment = self.deployment
         for host in list(self.paused):
             self._resume(host)
@@ -211,8 +213,21 @@
         for upstream in state["fences"]:
             self._control(f"upstreams/{upstream}", dict.fromkeys(UPSTREAM_FAULTS, False))
         self._control("store", {"lost_appends": 0})
-        for host in deployment.hosts:
-            wait_until(lambda host=host: deployment.is_ready(host), detail=f"{host} is ready")
+
+    def _wait_ready(self) -> list[str]:
+        """Return the hosts that don't take jobs again although every fault is over."""
+        return [
+            f"{name} is not ready, exit code {program.process.poll()}"
+            for name, program in self.deployment.hosts.items()
+            if not self._becomes_ready(name)
+        ]
+
+    def _becomes_ready(self, host: str) -> bool:
+        try:
+            wait_until(lambda: self.deployment.is_ready(host), READY_LIMIT_S)
+        except AssertionError:
+            return False
+        return True
 
 
 def run_soak(processes: Processes, seed: int, seconds: float, logs: Path) -> int:
@@ -243,7 +258,8 @@
     """Write what each program logged to a folder."""
     folder.mkdir(parents=True, exist_ok=True)
     for program in processes.programs:
-        folder.joinpath(f"{program.pid}.log").write_text(program.read_stdout())
+        output = program.read_stdout() + program.read_stderr()
+        folder.joinpath(f"{program.pid}.log").write_text(output)
     print(f"logs are in {folder}")
 
 
--- a/features/steps/site.py
+++ b/features/steps/site.py
@@ -1,11 +1,14 @@
 """Steps on hosts that run on a stand-in for the users' platform."""
 
 import signal
+import sys
 import threading
 import time
 from collections import Counter
 from itertools import chain
 from pathlib import Path
+from types import SimpleNamespace
+from unittest import mock
 
 import httpx
 from behave import given, then, when
@@ -13,6 +16,8 @@
 from support.processes import wait_until
 from support.site import SiteDeployment, count_starts, find_overlaps
 
+from fireflybridge_adapter.__main__ import main as start_program
+
 CHANGE_LIMIT_S = 10.0
 SUBMISSION_GAP_S = 0.4  # jobs of 800 ms tasks are always under way, with room to spare
 HEARTBEATS_S = 0.6  # four heartbeats; a drain takes a second or more
@@ -272,6 +277,21 @@
         host.process.send_signal(signal.SIGHUP)
 
 
+@when("the program of a host is started")
+def _(context: Context) -> None:
+    before = signal.getsignal(signal.SIGHUP)
+    name = "fireflybridge_adapter._program"
+    stub = SimpleNamespace(run_program=lambda: signal.getsignal(signal.SIGHUP))
+    with mock.patch.dict(sys.modules, {name: stub}):
+        context.found = start_program()
+    signal.signal(signal.SIGHUP, before)
+
+
+@then("SIGHUP is ignored before the host is imported")
+def _(context: Context) -> None:
+    assert context.found is signal.SIG_IGN, context.found
+
+
 @when("every host but the leader is killed")
 def _(context: Context) -> None:
     for host in other_hosts(context):
