--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -98,6 +98,12 @@
     When another host appends a term and this host claims
     Then this host knows the other's term
 
+  Scenario: A host whose claim came second claims again before it asks the lost leader
+    # Guards against a failure domain without a leader for the time-out of a dark host (incident inc-6e50).
+    Given a host that follows a lost leader, and a claim of another failure domain on its way
+    When the host replaces the leader
+    Then it leads its failure domain without a question to the lost leader
+
   Scenario: A job submitted again is not started before all its earlier runs are known
     # Guards against a task that runs twice when its job arrives before the term that joins leaders.
     Given a host that has long led failure domain "z1" of two
--- /dev/null
+++ b/features/steps/campaign.py
@@ -0,0 +1,85 @@
+"""Steps on a host's part in leadership, with a log in memory and a link that the steps settle."""
+
+from dataclasses import dataclass, field
+from types import SimpleNamespace
+
+import anyio
+from behave import given, then, when
+from behave.runner import Context
+from support.terms import DeafLog
+
+from fireflybridge_entry import LinkLoss
+from fireflybridge_host._campaign import Campaign
+from fireflybridge_host._journal import Journal
+from fireflybridge_leadership import Holder, Leadership, Term
+
+OWN = Holder("h2", "1", "127.0.0.1:2")
+LOST = Holder("h1", "1", "127.0.0.1:1")
+OTHER = Holder("h3", "1", "127.0.0.1:3")
+LIMIT_S = 10.0
+
+
+@dataclass
+class DarkLink:
+    """A link to a leader that has just been lost; a claim of another host comes first."""
+
+    log: DeafLog
+    peers: tuple[object, ...] = ()
+    questions: list[Holder] = field(default_factory=list)
+
+    async def watch(self, term: Term, limit_s: float | None = None) -> LinkLoss:
+        """Lose the leader while another host replaces it in its own failure domain."""
+        await self.log.append(("z3",), OTHER, len(self.log.terms))
+        return LinkLoss("timed out")
+
+    async def answers(self, holder: Holder) -> bool:
+        """Keep a question to the lost leader, which is not answered."""
+        self.questions.append(holder)
+        return False
+
+
+def ignore(*_arguments: object) -> None:
+    """Do nothing."""
+
+
+@given("a host that follows a lost leader, and a claim of another failure domain on its way")
+def prepare(context: Context) -> None:
+    context.log = DeafLog()
+    context.link = DarkLink(context.log)
+
+
+@when("the host replaces the leader")
+def replace_leader(context: Context) -> None:
+    anyio.run(run_campaign, context)
+
+
+async def run_campaign(context: Context) -> None:
+    """Run the host's campaign until it leads its failure domain."""
+    await context.log.append(("z1", "z2", "z3"), LOST, 0)
+    leadership = Leadership(context.log, ignore)
+    campaign = Campaign(
+        SimpleNamespace(failure_domain="z2", failure_domains=("z1", "z2", "z3"), strength=1.0),
+        OWN,
+        leadership,
+        context.link,
+        SimpleNamespace(set_leader=ignore),
+        SimpleNamespace(lead=ignore, upstream_count=3),
+        SimpleNamespace(set_leading=ignore),
+        SimpleNamespace(find_strongest=ignore),
+        Journal(),
+    )
+    async with anyio.create_task_group() as group:
+        group.start_soon(campaign.run, group)
+        group.start_soon(leadership.follow)
+        with anyio.move_on_after(LIMIT_S):
+            while not campaign.leads:
+                await leadership.changed.wait()
+        context.questions = list(context.link.questions)
+        group.cancel_scope.cancel()
+    context.leads = campaign.leads
+
+
+@then("it leads its failure domain without a question to the lost leader")
+def check_lead(context: Context) -> None:
+    assert context.leads
+    assert not context.questions, context.questions
--- a/features/steps/decisions.py
+++ b/features/steps/decisions.py
@@ -7,6 +7,7 @@
 import anyio
 from behave import given, then, when
 from behave.runner import Context
+from support.terms import DeafLog
 
 from fireflybridge_execution import Accepted, DirectoryView, Hold, Scheduler, Start, Stop
 from fireflybridge_jobs import (
@@ -27,13 +28,9 @@
     UpstreamState,
 )
 from fireflybridge_leadership import (
-    Appended,
-    AppendResult,
-    Conflict,
     Holder,
     Leadership,
     Term,
-    TermsRead,
     begin_provisional_term,
     compute_fence,
     select_terms,
@@ -254,35 +251,6 @@
     assert all(lost.fence < term.fence < compute_fence(5) for term in terms)
 
 
-class DeafLog:
-    """A log of terms whose long polls hear nothing; reads that don't wait are answered."""
-
-    def __init__(self) -> None:
-        self.terms: list[Term] = []
-
-    async def read_newest(self) -> TermsRead:
-        """Return every term."""
-        return TermsRead(tuple(self.terms), len(self.terms))
-
-    async def read_since(self, offset: int, wait_s: float) -> TermsRead:
-        """Return the terms from an offset on, unless the call waits."""
-        if wait_s > 0:
-            await anyio.sleep_forever()
-        return TermsRead(tuple(self.terms[offset:]), len(self.terms))
-
-    async def append(self, domains: tuple[str, ...], holder: Holder, end: int) -> AppendResult:
-        """Append a term for each failure domain if the log ends at an offset."""
-        if end != len(self.terms):
-            return Conflict(len(self.terms))
-        first = len(self.terms)
-        found = tuple(
-            Term(domain, holder, compute_fence(first + index))
-            for index, domain in enumerate(domains)
-        )
-        self.terms.extend(found)
-        return Appended(found, len(self.terms))
-
-
 @given("a host that follows a log whose long polls hear nothing")
 def _(context: Context) -> None:
     context.log = DeafLog()
--- a/packages/host/src/fireflybridge_host/_campaign.py
+++ b/packages/host/src/fireflybridge_host/_campaign.py
@@ -227,6 +227,9 @@
         while self._leadership.terms.get(self._domain) == lost:
             if not self._draining:
                 result = await self._claim((self._domain,))
+                if result is ClaimResult.CONFLICT:
+                    # Mostly the claim of another failure domain, and this host has read it.
+                    continue
                 if result is ClaimResult.UNREACHABLE:
                     await self._stand_in(lost)
             if self._leadership.terms.get(self._domain) != lost:
