--- a/packages/execution/src/fireflybridge_execution/_scheduler.py
+++ b/packages/execution/src/fireflybridge_execution/_scheduler.py
@@ -103,8 +103,9 @@
     async def submit(self, job: Job, age_s: float, earlier: EarlierRuns | None) -> Answer:
         """Return the answer to a job that its entry host received ``age_s`` ago.
 
-        ``earlier`` says where runs that another leader started may be alive. A job that is cancelled while it waits here has its runs stopped. A second submission of
-        the same job shares the answer of the first.
+        ``earlier`` says where runs that another leader started may be alive. A job that is
+        cancelled while it waits here has its runs stopped. A second submission of the same job
+        shares the answer of the first.
         """
         active = self._jobs.get(job.id) or self._receive(job, age_s, earlier)
         active.waiters += 1
@@ -240,7 +241,7 @@
         )
 
     def _find_earlier_runs(self, active: ActiveJob) -> EarlierRuns | None:
-        """Return where the next leader must look for runs of a job, or None if there never was one."""
+        """Return where the next leader must look for a job's runs, or None if there was none."""
         if not active.may_have_run and not active.runs:
             return None
         running = EarlierRuns(self._roster.list_running(active.job.id))
