Exchange h11 for httptools in the HTTP package, and contain a handler's error

Cause: everything at the size of the large site is messages, and h11 in pure Python with a task group for each request took most of an exchange. Ruled out: uvloop and the sockets, which both variants share.

--- a/packages/host/src/fireflybridge_host/_event_logger.py
+++ b/packages/host/src/fireflybridge_host/_event_logger.py
@@ -1,5 +1,6 @@
 """Log lines and counters for the events and decisions of a host."""
 
+import traceback
 from collections import Counter
 from dataclasses import dataclass, field
 
@@ -51,6 +52,7 @@
     ejections: int = 0
     store_errors: int = 0
     terms: int = 0
+    unexpected_errors: int = 0
 
 
 class EventLogger:
@@ -135,6 +137,17 @@
         self.counters.store_errors += 1
         self._log.warning("store call failed", event_id=7301, error=str(error))
 
+    def record_unexpected_error(self, action: str, error: Exception) -> None:
+        """Log, with its traceback, and count an error that has interrupted one action."""
+        self.counters.unexpected_errors += 1
+        self._log.error(
+            "unexpected error",
+            event_id=7501,
+            action=action,
+            error=repr(error),
+            traceback="".join(traceback.format_exception(error)),
+        )
+
     def record_configuration(self, configuration: Configuration, waited_s: float) -> None:
         """Log a configuration that is now in force."""
         self._log.info(
--- a/packages/host/src/fireflybridge_host/_host.py
+++ b/packages/host/src/fireflybridge_host/_host.py
@@ -103,19 +103,21 @@
         front_end = ports.make_front_end(
             self._route_table, self._submitter, self._event_logger.record_request
         )
+        report = self._event_logger.record_unexpected_error
         self._caller_server = Server(
-            settings.callers_address, front_end.handle, _make_server_limits(Limits())
+            settings.callers_address, front_end.handle, _make_server_limits(Limits()), report
         )
         metrics = MetricsService(self._event_logger.counters, count_dropped)
         self._servers = (
             self._caller_server,
-            Server(settings.ready_address, self._handle_readiness, ServerLimits()),
+            Server(settings.ready_address, self._handle_readiness, ServerLimits(), report),
             Server(
                 settings.peer_address,
                 self._peer_service.handle,
                 ServerLimits(max_body_bytes=MAX_PEER_BODY_BYTES),
+                report,
             ),
-            Server(settings.metrics_address, metrics.handle, ServerLimits()),
+            Server(settings.metrics_address, metrics.handle, ServerLimits(), report),
         )
         self._draining = False
 
--- a/packages/host/src/fireflybridge_host/_metrics.py
+++ b/packages/host/src/fireflybridge_host/_metrics.py
@@ -56,6 +56,7 @@
             "upstream_ejections": counters.ejections,
             "store_errors": counters.store_errors,
             "leadership_terms": counters.terms,
+            "unexpected_errors": counters.unexpected_errors,
             "log_lines_dropped": self._count_dropped_lines(),
         }
         for name, value in counts.items():
--- a/packages/http/src/fireflybridge_http/_client.py
+++ b/packages/http/src/fireflybridge_http/_client.py
@@ -5,15 +5,14 @@
 from enum import StrEnum
 
 import anyio
-import h11
 from anyio.abc import SocketStream
 
+from fireflybridge_http._encoding import encode_request
 from fireflybridge_http._messages import Request, Response
-from fireflybridge_http._streams import open_stream
+from fireflybridge_http._parsing import ParseError, ResponseParser
+from fireflybridge_http._streams import open_stream, receive_some
 
 CONNECT_TIMEOUT_S = 0.5  # several round trips on a loaded link
-RECEIVE_BYTES = 65536
-MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 
 
 class ExchangeStep(StrEnum):
@@ -53,18 +52,22 @@
         self._host = host
         self._port = int(port)
         self._stream: SocketStream | None = None
-        self._http = h11.Connection(our_role=h11.CLIENT)
+        self._parser = ResponseParser()
         self._poller = select.poll()
 
     async def exchange(self, request: Request, timeout_s: float) -> Response:
         """Return the response within ``timeout_s``; raise ``ExchangeError`` otherwise."""
         step = ExchangeStep.CONNECT
         finished = False
+        try:
+            encoded = encode_request(request, self.address)
+        except ValueError as error:
+            raise ExchangeError(step, self.address, str(error)) from error
         try:
             with anyio.fail_after(timeout_s):
                 stream = await self._connect()
                 step = ExchangeStep.SEND
-                await stream.send(self._encode(request))
+                await stream.send(encoded)
                 step = ExchangeStep.RECEIVE
                 response = await self._receive(stream)
                 finished = True
@@ -73,12 +76,17 @@
             raise ExchangeError(step, self.address, "timed out") from error
         except ConnectionRefusedError as error:
             raise ExchangeError(step, self.address, "refused") from error
-        except (OSError, anyio.BrokenResourceError, anyio.EndOfStream) as error:
+        except (
+            OSError,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+            anyio.EndOfStream,
+        ) as error:
             raise ExchangeError(step, self.address, str(error) or type(error).__name__) from error
-        except h11.ProtocolError as error:
+        except ParseError as error:
             raise ExchangeError(step, self.address, str(error)) from error
         finally:
-            if not finished or not self._reset_cycle():
+            if not finished or not self._parser.keep_alive:
                 await self.close()
 
     async def close(self) -> None:
@@ -102,66 +110,21 @@
         opened.raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._poller = select.poll()
         self._poller.register(opened.raw, select.POLLIN)
-        self._http = h11.Connection(our_role=h11.CLIENT)
+        self._parser = ResponseParser()
         return opened.stream
 
-    def _encode(self, request: Request) -> bytes:
-        head = h11.Request(
-            method=request.method,
-            target=request.target,
-            headers=[
-                ("host", self.address),
-                *request.headers,
-                ("content-length", str(len(request.body))),
-            ],
-        )
-        parts = [self._http.send(head)]
-        if request.body:
-            parts.append(self._http.send(h11.Data(data=request.body)))
-        parts.append(self._http.send(h11.EndOfMessage()))
-        return b"".join(part for part in parts if part)
-
     async def _receive(self, stream: SocketStream) -> Response:
-        head: h11.Response | None = None
-        chunks: list[bytes] = []
-        size = 0
-        while True:
-            match self._http.next_event():
-                case h11.NEED_DATA:
-                    self._http.receive_data(await receive_some(stream))
-                case h11.Response() as head:
-                    pass
-                case h11.Data(data=data):
-                    chunks.append(bytes(data))
-                    size += len(data)
-                    if size > MAX_RESPONSE_BYTES:
-                        raise h11.RemoteProtocolError("response too large")
-                case h11.EndOfMessage() if head is not None:
-                    return Response(head.status_code, b"".join(chunks), decode_headers(head))
-                case h11.InformationalResponse():
-                    pass
-                case _:
-                    raise anyio.EndOfStream
-
-    def _reset_cycle(self) -> bool:
-        try:
-            self._http.start_next_cycle()
-        except h11.ProtocolError:
-            return False
-        return not self._http.trailing_data[0]
-
-
-def decode_headers(event: h11.Request | h11.Response) -> tuple[tuple[str, str], ...]:
-    """Return the headers of an h11 event as text; h11 lower-cases the names."""
-    return tuple((name.decode("ascii"), value.decode("latin-1")) for name, value in event.headers)
-
-
-async def receive_some(stream: SocketStream) -> bytes:
-    """Return the next bytes, or ``b""`` at the end of the stream."""
-    try:
-        return await stream.receive(RECEIVE_BYTES)
-    except anyio.EndOfStream:
-        return b""
+        parser = self._parser
+        parser.start()
+        while parser.response is None:
+            data = await receive_some(stream)
+            if data:
+                parser.feed(data)
+                continue
+            parser.end()
+            if parser.response is None:
+                raise anyio.EndOfStream
+        return parser.response
 
 
 def _find_system_error(error: OSError) -> OSError:
--- a/packages/http/src/fireflybridge_http/_streams.py
+++ b/packages/http/src/fireflybridge_http/_streams.py
@@ -6,6 +6,8 @@
 import anyio
 from anyio.abc import SocketAttribute, SocketStream
 
+RECEIVE_BYTES = 65536
+
 
 @dataclass(frozen=True, slots=True)
 class OpenedStream:
@@ -25,3 +27,11 @@
         # If the peer closed the connection immediately, the event loop has dropped the socket.
         await anyio.aclose_forcefully(stream)
         raise ConnectionResetError("closed by the peer immediately") from error
+
+
+async def receive_some(stream: SocketStream) -> bytes:
+    """Return the next bytes, or ``b""`` at the end of the stream."""
+    try:
+        return await stream.receive(RECEIVE_BYTES)
+    except anyio.EndOfStream:
+        return b""
