Answer placement and progress questions from an index of free upstreams

Cause: each hold reply reports each run, and for each of them the placer walked all upstreams for the fastest free one before it asked whether the run was late at all; a placement walked them as well, and the highest learned speed was searched for each task. So a leader's processor time grew with the square of its upstreams.

Change: the cheap question first; an index in placement groups free upstreams by what is free and sorts each group by speed, and the sessions mark what has changed; the fastest learned speed is kept.

Ruled out: the cost model itself, which is unchanged; a property-based feature compares the index with a look at each upstream.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -61,6 +61,18 @@
     And a second run of 100 ms at 15 percent after 90 ms with 300 ms left is kept
     And a second run of 100 ms at 0 percent after 250 ms with 300 ms left is moved
 
+  Scenario: The index of free upstreams answers as a look at each of them does
+    # Guards against a leader of many upstreams that spends its processor time on walks over them.
+    Then for arbitrary free upstreams and tasks the index chooses at the lowest cost of all
+    And for arbitrary free upstreams the index finds the fastest other one with room
+
+  Scenario: A change of one upstream is in the index at the next decision
+    # Guards against work placed on an upstream that is full, ejected, draining or gone.
+    Given a leader of 3 in-memory upstreams with room for two tasks each
+    When a job of 6 endless tasks is submitted to it
+    Then each upstream runs two of them
+    And a further job is refused until one of the runs ends
+
   Scenario: A job of short tasks precedes a job of long ones received slightly earlier
     Then a job with a critical path of 50 ms precedes one of 760 ms received 100 ms earlier
     And a job with a critical path of 760 ms precedes one of 50 ms received 500 ms later
--- a/packages/execution/src/fireflybridge_execution/_active_job.py
+++ b/packages/execution/src/fireflybridge_execution/_active_job.py
@@ -9,6 +9,7 @@
 import anyio
 
 from fireflybridge_jobs import Answer, EarlierRuns, Job, Step, Succeeded, TaskId
+from fireflybridge_placement import compute_critical_path_ms
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,6 +27,8 @@
         self.job = job
         self.received_s = received_s
         self.submitted_s = time.monotonic()
+        self.critical_path_ms = compute_critical_path_ms(job)
+        """Estimated work of the longest chain of dependent tasks, before what was learned."""
         self.deadline_s = received_s + min(job.wait_ms, job.policy.timeout_ms) / 1000
         self.earlier = earlier
         self.accepts_any_speed = False
--- a/packages/execution/src/fireflybridge_execution/_placer.py
+++ b/packages/execution/src/fireflybridge_execution/_placer.py
@@ -1,30 +1,27 @@
 """Placement of a job's waiting tasks on upstreams with free capacity."""
 
 import time
-from collections.abc import Collection, Mapping
-from dataclasses import replace
+from collections.abc import Iterable
 from math import inf
 
 from fireflybridge_execution._active_job import ActiveJob
 from fireflybridge_execution._events import Placement
+from fireflybridge_execution._free_capacity import FreeCapacity
 from fireflybridge_execution._run_registry import Run
-from fireflybridge_execution._session import UpstreamSession
 from fireflybridge_execution._session_manager import SessionManager
-from fireflybridge_jobs import Job, TaskId
+from fireflybridge_jobs import TaskId
 from fireflybridge_placement import (
     RunProgress,
     TaskRequirements,
     TimeLimits,
-    UpstreamCandidate,
+    UpstreamIndex,
     WorkEstimator,
-    choose_upstream,
-    compute_critical_path_ms,
     compute_objective_ms,
+    select_missed_limits,
     should_move,
 )
 
 FASTEST_SHARE = 0.9  # learned speeds of equal upstreams differ by about a tenth
-NEGLIGIBLE_SPEED = 1e-6
 LATE_FACTOR = 3  # an answer after this many times the objective is worthless
 MIN_DURATION_SHARE = 0.375  # work 40% below the prediction on an upstream of speed 1.6
 
@@ -35,29 +32,34 @@
     def __init__(self, sessions: SessionManager) -> None:
         self.estimator = WorkEstimator()
         self._sessions = sessions
-
-    def list_candidates(
-        self, jobs: Collection[ActiveJob], now_s: float
-    ) -> dict[str, UpstreamCandidate]:
-        """Return by id the upstreams that can run the smallest of the jobs' first waiting tasks."""
-        waiting = [job.get_step(job.waiting[0]).needs for job in jobs if job.waiting]
-        if not waiting:
-            return {}
-        smallest = min(waiting, key=lambda needs: needs.cpu_millicores)
-        sessions = self._sessions.list_available(now_s, smallest)
-        return {session.info.id: self._build_candidate(session) for session in sessions}
-
-    def place(
-        self, active: ActiveJob, candidates: dict[str, UpstreamCandidate], now_s: float
-    ) -> tuple[Placement, ...]:
-        """Place as many waiting tasks of a job as fit, and update the candidates."""
+        self._free = FreeCapacity(sessions, self.estimator)
+
+    def mark_changed(self, upstream: str) -> None:
+        """Note that an upstream's runs, state or health have changed."""
+        self._free.mark_changed(upstream)
+
+    def record_run_time(
+        self, route: str, upstream: str, estimate_ms: float, elapsed_ms: float
+    ) -> None:
+        """Learn from the run time of a completed run."""
+        self.estimator.record(route, upstream, estimate_ms, elapsed_ms)
+        self._free.mark_changed(upstream)
+
+    def has_room(self, jobs: Iterable[ActiveJob]) -> bool:
+        """Return whether an upstream has room for the first waiting task of any of the jobs."""
+        needs = {job.get_step(job.waiting[0]).needs for job in jobs if job.waiting}
+        return self._free.get_index().has_room(needs)
+
+    def place(self, active: ActiveJob, now_s: float) -> tuple[Placement, ...]:
+        """Place as many waiting tasks of a job as fit."""
         tasks = [task for task in active.waiting if task not in self._sessions.live_runs]
-        placed = (self._place_task(active, task, candidates, now_s) for task in tasks)
+        placed = (self._place_task(active, task, now_s) for task in tasks)
         return tuple(placement for placement in placed if placement is not None)
 
-    def predict_critical_path_ms(self, job: Job) -> float:
+    def predict_critical_path_ms(self, active: ActiveJob) -> float:
         """Return the predicted work of a job's longest chain of dependent tasks."""
-        return self.estimator.predict_work_ms(job.policy.route, compute_critical_path_ms(job))
+        route = active.job.policy.route
+        return self.estimator.predict_work_ms(route, active.critical_path_ms)
 
     def will_miss_deadline(self, active: ActiveJob, now_s: float) -> bool:
         """Return whether a job's longest waiting task can't be done before the deadline."""
@@ -79,51 +81,33 @@
             self.estimator.get_speed(upstream),
             active.count_moves(run.task),
         )
-        limits = self._compute_limits(active, now_s, self.predict_critical_path_ms(active.job))
-        moves = should_move(progress, limits, self._find_fastest_free_speed(upstream, run, now_s))
-        return progress if moves else None
-
-    def _place_task(
-        self,
-        active: ActiveJob,
-        task: TaskId,
-        candidates: dict[str, UpstreamCandidate],
-        now_s: float,
-    ) -> Placement | None:
-        requirements = self._build_requirements(active, task, candidates, now_s)
-        chosen = choose_upstream(requirements, candidates.values())
-        session = None if chosen is None else self._sessions.find(chosen)
+        limits = self._compute_limits(active, now_s, self.predict_critical_path_ms(active))
+        if not select_missed_limits(progress, limits):
+            return None
+        pool = active.job.policy.pool
+        free_speed = self._free.get_index().find_fastest_speed(pool, run.needs, upstream)
+        if free_speed is None or not should_move(progress, limits, free_speed):
+            return None
+        return progress
+
+    def _place_task(self, active: ActiveJob, task: TaskId, now_s: float) -> Placement | None:
+        index = self._free.get_index()
+        requirements = self._build_requirements(active, task, index, now_s)
+        chosen = index.choose(requirements)
+        session = None if chosen is None else self._sessions.find(chosen.id)
         if chosen is None or session is None:
             return None
         active.waiting.remove(task)
-        number = active.record_placement(task, chosen, now_s)
+        number = active.record_placement(task, chosen.id, now_s)
         session.start(task, number, active.job.spec, requirements.needs)
-        candidate = candidates[chosen]
-        if session.admits(now_s):
-            candidates[chosen] = replace(candidate, available=session.available)
-        else:
-            del candidates[chosen]
-        return Placement(task, number, chosen, candidate.speed)
-
-    def _build_candidate(self, session: UpstreamSession) -> UpstreamCandidate:
-        return UpstreamCandidate(
-            session.info.id,
-            session.info.pool,
-            session.available,
-            self.estimator.get_speed(session.info.id),
-            session.info.labels,
-        )
+        return Placement(task, number, chosen.id, chosen.speed)
 
     def _build_requirements(
-        self,
-        active: ActiveJob,
-        task: TaskId,
-        candidates: Mapping[str, UpstreamCandidate],
-        now_s: float,
+        self, active: ActiveJob, task: TaskId, index: UpstreamIndex, now_s: float
     ) -> TaskRequirements:
         step = active.get_step(task)
         excluded = active.list_avoided_upstreams(task)
-        if excluded.issuperset(candidates):
+        if excluded and not index.has_fitting(active.job.policy.pool, step.needs, excluded):
             excluded = frozenset()
         if step.max_per_upstream:
             excluded |= active.list_full_upstreams(task.step, step.max_per_upstream)
@@ -152,12 +136,3 @@
             LATE_FACTOR * objective_ms - age_ms,
             (active.deadline_s - now_s) * 1000,
         )
-
-    def _find_fastest_free_speed(self, upstream: str, run: Run, now_s: float) -> float:
-        """Return the speed of the fastest other upstream that can take a run, or one near zero."""
-        free = (
-            self.estimator.get_speed(session.info.id)
-            for session in self._sessions.list_available(now_s, run.needs)
-            if session.info.id != upstream
-        )
-        return max(free, default=NEGLIGIBLE_SPEED)
--- a/packages/execution/src/fireflybridge_execution/_run_listener.py
+++ b/packages/execution/src/fireflybridge_execution/_run_listener.py
@@ -31,6 +31,9 @@
     def orphan_ended(self, upstream: str, run: EndedRun) -> None:
         """Handle the reported end of a run that this host doesn't know."""
 
+    def availability_changed(self, upstream: str) -> None:
+        """Handle a change of an upstream's runs, state or health, which may let it take work."""
+
     def capacity_changed(self) -> None:
         """Handle a report after which the upstream may have more free capacity."""
 
--- a/packages/execution/src/fireflybridge_execution/_run_registry.py
+++ b/packages/execution/src/fireflybridge_execution/_run_registry.py
@@ -1,6 +1,6 @@
 """The runs that may be alive on one upstream."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from enum import Enum, auto
 from itertools import chain
@@ -58,8 +58,10 @@
 class RunRegistry:
     """The runs on one upstream and the resources used by those of this host."""
 
-    def __init__(self, live_runs: LiveRuns) -> None:
+    def __init__(self, live_runs: LiveRuns, on_change: Callable[[], None]) -> None:
+        """Call ``on_change`` after each addition or removal."""
         self.used = Resources()
+        self._on_change = on_change
         self._live_runs = live_runs
         self._runs: dict[RunKey, Run] = {}
         self._orphans: dict[RunKey, OrphanedRun] = {}
@@ -103,6 +105,7 @@
         self._runs[run.key] = run
         self.used = self.used + run.needs
         self._live_runs.add(run.task)
+        self._on_change()
 
     def update(self, run: Run) -> None:
         """Replace a run that was added before."""
@@ -114,6 +117,7 @@
         if run is not None:
             self.used = self.used - run.needs
             self._live_runs.remove(run.task)
+            self._on_change()
         return run
 
     def find_orphan(self, key: RunKey) -> OrphanedRun | None:
@@ -124,12 +128,14 @@
         """Add a run of an earlier leader."""
         self._orphans[orphan.key] = orphan
         self._live_runs.add(orphan.run.task)
+        self._on_change()
 
     def remove_orphans(self, keys: Iterable[RunKey]) -> None:
         """Remove runs of earlier leaders that have ended or were adopted."""
         for key in keys:
             if self._orphans.pop(key, None) is not None:
                 self._live_runs.remove(key[0])
+                self._on_change()
 
     def clear(self) -> tuple[Run, ...]:
         """Remove every run; return those of this host."""
--- a/packages/execution/src/fireflybridge_execution/_scheduler.py
+++ b/packages/execution/src/fireflybridge_execution/_scheduler.py
@@ -126,7 +126,7 @@
                 job.id,
                 job.policy.route,
                 len(active.waiting),
-                self._placer.predict_critical_path_ms(job),
+                self._placer.predict_critical_path_ms(active),
                 len(self._queue),
                 earlier,
             )
@@ -140,7 +140,7 @@
         return active
 
     async def _wait_for_answer(self, active: ActiveJob) -> Answer:
-        critical_path_ms = self._placer.predict_critical_path_ms(active.job)
+        critical_path_ms = self._placer.predict_critical_path_ms(active)
         refusal_s = compute_refusal_time(active.job, active.received_s, critical_path_ms)
         if not active.may_have_run:
             with anyio.move_on_after(max(refusal_s - time.monotonic(), 0)):
@@ -195,7 +195,7 @@
     # Placement of waiting jobs
 
     def _enqueue(self, active: ActiveJob) -> None:
-        critical_path_ms = self._placer.predict_critical_path_ms(active.job)
+        critical_path_ms = self._placer.predict_critical_path_ms(active)
         self._queue.add(
             active, compute_latest_start(active.job, active.received_s, critical_path_ms)
         )
@@ -206,14 +206,14 @@
             return
         now_s = time.monotonic()
         waiting = self._queue.list_first()
-        candidates = self._placer.list_candidates(waiting[:MAX_BACKFILL_ATTEMPTS], now_s)
         attempts_left = MAX_BACKFILL_ATTEMPTS
-        for active in waiting:
-            if not candidates or not attempts_left:
+        for position, active in enumerate(waiting):
+            next_jobs = waiting[position : position + MAX_BACKFILL_ATTEMPTS]
+            if not attempts_left or not self._placer.has_room(next_jobs):
                 return
             if not self._has_resolved_earlier_runs(active, now_s):
                 continue
-            placements = self._placer.place(active, candidates, now_s)
+            placements = self._placer.place(active, now_s)
             if placements:
                 self._on_event(TasksPlaced(active.job.id, placements, len(active.waiting)))
             if active.waiting:
@@ -303,7 +303,7 @@
         if run.spec:
             estimate_ms = active.get_step(run.task).estimate_ms
             route = active.job.policy.route
-            self._placer.estimator.record(route, upstream, estimate_ms, elapsed_s * 1000)
+            self._placer.record_run_time(route, upstream, estimate_ms, elapsed_s * 1000)
 
     def run_not_started(self, upstream: str, run: Run, reason: RejectionReason | None) -> None:
         """Requeue a task whose run was not started."""
@@ -356,6 +356,10 @@
         if active is not None and active.earlier is not None and run.outcome is RunOutcome.DONE:
             active.finish(run.task)
 
+    def availability_changed(self, upstream: str) -> None:
+        """Note a change that may let an upstream take work, or no more of it."""
+        self._placer.mark_changed(upstream)
+
     def capacity_changed(self) -> None:
         """Place waiting tasks on the free capacity."""
         self._place()
--- a/packages/execution/src/fireflybridge_execution/_session.py
+++ b/packages/execution/src/fireflybridge_execution/_session.py
@@ -62,12 +62,12 @@
         live_runs: LiveRuns,
     ) -> None:
         self.info = info
+        self._listener = listener
         self.synced = False
         self.health = Health()
         self.fence = fence
         self._connector = connector
-        self._listener = listener
-        self.runs = RunRegistry(live_runs)
+        self.runs = RunRegistry(live_runs, self._report_availability)
         self._clock: RemoteClock | None = None
         self._incarnation = 0
         self._acknowledged = 0
@@ -96,9 +96,18 @@
             and self.health.admits(now_s, len(self.runs))
         )
 
+    @property
+    def blocked_until_s(self) -> float:
+        """Return when an ejection or a back-off ends, on the monotonic clock in seconds."""
+        return max(self._full_until_s, self.health.ejected_until_s)
+
     def update(self, info: UpstreamInfo) -> None:
         """Set the upstream's newest directory entry."""
         self.info = info
+        self._report_availability()
+
+    def _report_availability(self) -> None:
+        self._listener.availability_changed(self.info.id)
 
     def start(self, task: TaskId, number: int, spec: str, needs: Resources) -> None:
         """Queue the start of a run; the listener is called with the result."""
@@ -212,11 +221,17 @@
         self._update_orphans(listed, now_s)
         if not self.synced:
             self.synced = True
+            self._report_availability()
             self._listener.upstream_synced(self.info.id, self._incarnation, len(listed))
-        self._full_until_s = 0.0
+        self._end_back_off()
         self._listener.capacity_changed()
         self._report_progress(listed)
 
+    def _end_back_off(self) -> None:
+        if self._full_until_s:
+            self._full_until_s = 0.0
+            self._report_availability()
+
     def _report_progress(self, listed: Mapping[RunKey, RunningRun]) -> None:
         for key, found in listed.items():
             run = self.runs.find(key)
@@ -226,7 +241,7 @@
     def _begin_incarnation(self, incarnation: int) -> None:
         if self._incarnation:
             self._remove_lost(self.runs.list_runs())
-            self.health = Health()
+            self._replace_health(Health(), "the upstream has restarted")
         self._incarnation = incarnation
         self._acknowledged = 0
         self._acknowledgement_sent = 0
@@ -248,7 +263,7 @@
     def _update_health(self, run: Run, outcome: RunOutcome, now_s: float) -> None:
         match outcome:
             case RunOutcome.DONE:
-                self.health = record_success(self.health)
+                self._replace_health(record_success(self.health), "a run succeeded")
             case RunOutcome.FAILED:
                 failed = record_failure(self.health, run.task.job, now_s)
                 self._replace_health(failed, "runs failed")
@@ -299,6 +314,7 @@
             self._clock = None
             self._incarnation = 0
             self.synced = False
+            self._report_availability()
 
     def _eject(self, reason: str) -> None:
         self._replace_health(eject(self.health, time.monotonic()), reason)
@@ -306,7 +322,8 @@
     def _replace_health(self, health: Health, reason: str) -> None:
         before = self.health
         self.health = health
-        if health.ejected_until_s != before.ejected_until_s:
+        self._report_availability()
+        if health.ejected_until_s > before.ejected_until_s:
             self._listener.upstream_ejected(self.info.id, reason, health.failures)
 
     # Each call of _send_commands runs concurrently with the others and owns one connection.
@@ -356,6 +373,7 @@
                 self._listener.superseded(self.info.id)
             case Rejected(reason=RejectionReason.NO_CAPACITY):
                 self._full_until_s = time.monotonic() + NO_CAPACITY_BACKOFF_S
+                self._report_availability()
                 self._withdraw(run, RejectionReason.NO_CAPACITY)
             case Rejected(reason=RejectionReason.OLD_RUN | RejectionReason.LATE as reason):
                 self._withdraw(run, reason)
--- a/packages/execution/src/fireflybridge_execution/_session_manager.py
+++ b/packages/execution/src/fireflybridge_execution/_session_manager.py
@@ -13,7 +13,7 @@
 from fireflybridge_execution._run_listener import RunListener
 from fireflybridge_execution._run_registry import Run
 from fireflybridge_execution._session import UpstreamSession
-from fireflybridge_jobs import EarlierRuns, Resources, UpstreamInfo
+from fireflybridge_jobs import EarlierRuns, UpstreamInfo
 
 UNKNOWN_RUN_LIFETIME_S = 2.0  # lease of an earlier leader plus adoption wait of another new one
 # A leader that is cut off from the store keeps using upstreams whose entries have expired.
@@ -52,14 +52,6 @@
         """Return the session with an upstream, if one is open."""
         return self._sessions.get(upstream)
 
-    def list_available(self, now_s: float, needs: Resources) -> list[UpstreamSession]:
-        """Return the sessions whose upstream can take a run with these needs now."""
-        return [
-            session
-            for session in self._sessions.values()
-            if session.admits(now_s) and needs.fits_in(session.available)
-        ]
-
     @property
     def has_synced_upstream(self) -> bool:
         """Return whether any upstream has listed its runs."""
@@ -168,10 +160,12 @@
         fence = self._fences[info.failure_domain]
         session = UpstreamSession(info, fence, self._connector, self._listener, self.live_runs)
         self._sessions[info.id] = session
+        self._listener.availability_changed(info.id)
         group.start_soon(session.serve)
 
     def _retire(self, session: UpstreamSession) -> None:
         del self._sessions[session.info.id]
+        self._listener.availability_changed(session.info.id)
         session.close()
         if self._group is not None:
             self._retired.add(session)
--- a/packages/placement/src/fireflybridge_placement/__init__.py
+++ b/packages/placement/src/fireflybridge_placement/__init__.py
@@ -9,7 +9,13 @@
     record_failure,
     record_success,
 )
-from fireflybridge_placement._moves import RunProgress, TimeLimits, should_move
+from fireflybridge_placement._index import UpstreamIndex
+from fireflybridge_placement._moves import (
+    RunProgress,
+    TimeLimits,
+    select_missed_limits,
+    should_move,
+)
 from fireflybridge_placement._order import (
     compute_critical_path_ms,
     compute_latest_start,
@@ -23,6 +29,7 @@
     "TaskRequirements",
     "TimeLimits",
     "UpstreamCandidate",
+    "UpstreamIndex",
     "WorkEstimator",
     "choose_upstream",
     "compute_critical_path_ms",
@@ -32,5 +39,6 @@
     "eject",
     "record_failure",
     "record_success",
+    "select_missed_limits",
     "should_move",
 ]
--- a/packages/placement/src/fireflybridge_placement/_estimates.py
+++ b/packages/placement/src/fireflybridge_placement/_estimates.py
@@ -14,6 +14,8 @@
     def __init__(self) -> None:
         self._route_log_ratios: dict[str, float] = {}
         self._upstream_log_ratios: dict[str, float] = {}
+        self._fastest = ""
+        """The upstream with the highest learned speed; empty if none was learned."""
 
     def predict_work_ms(self, route: str, estimate_ms: float) -> float:
         """Return the predicted run time of a task on an upstream of average speed."""
@@ -25,7 +27,7 @@
 
     def get_highest_speed(self) -> float:
         """Return the highest learned speed, or 1 if none was learned yet."""
-        return math.exp(-min(self._upstream_log_ratios.values(), default=0.0))
+        return self.get_speed(self._fastest)
 
     def record(self, route: str, upstream: str, estimate_ms: float, elapsed_ms: float) -> None:
         """Update the averages with the run time of a completed run."""
@@ -35,7 +37,7 @@
         log_slowness = self._upstream_log_ratios.get(upstream, 0.0)
         log_error = math.log(elapsed_ms / predicted_ms) - log_slowness
         log_error = min(max(log_error, -MAX_LOG_ERROR), MAX_LOG_ERROR)
-        self._upstream_log_ratios[upstream] = log_slowness + SPEED_WEIGHT * log_error
+        self._set_log_ratio(upstream, log_slowness + SPEED_WEIGHT * log_error)
         self._route_log_ratios[route] = (
             self._route_log_ratios.get(route, 0.0) + ROUTE_WEIGHT * log_error
         )
@@ -45,3 +47,16 @@
         self._upstream_log_ratios = {
             name: value for name, value in self._upstream_log_ratios.items() if name in upstreams
         }
+        self._find_fastest()
+
+    def _set_log_ratio(self, upstream: str, log_ratio: float) -> None:
+        self._upstream_log_ratios[upstream] = log_ratio
+        fastest_log_ratio = self._upstream_log_ratios.get(self._fastest, math.inf)
+        if upstream == self._fastest:
+            self._find_fastest()
+        elif log_ratio < fastest_log_ratio:
+            self._fastest = upstream
+
+    def _find_fastest(self) -> None:
+        ratios = self._upstream_log_ratios
+        self._fastest = min(ratios, key=ratios.__getitem__, default="")
--- a/packages/placement/src/fireflybridge_placement/_moves.py
+++ b/packages/placement/src/fireflybridge_placement/_moves.py
@@ -39,14 +39,23 @@
     Handles upstreams that hang or become slow under a job with many parallel tasks, whose answer
     waits for the last of them, and long tasks that were placed when only slow upstreams were free.
     """
-    if progress.elapsed_ms < MIN_ELAPSED_MS:
+    missed_ms = select_missed_limits(progress, limits)
+    if not missed_ms:
         return False
-    remaining_ms = _predict_remaining_ms(progress)
     restarted_ms = RESTART_COST_MS + _predict_work_ms(progress) / free_speed
-    return any(
-        restarted_ms < limit_ms < remaining_ms
-        for limit_ms in (limits.objective_ms, limits.late_ms, limits.deadline_ms)
-    )
+    return any(restarted_ms < limit_ms for limit_ms in missed_ms)
+
+
+def select_missed_limits(progress: RunProgress, limits: TimeLimits) -> tuple[float, ...]:
+    """Return the limits, in milliseconds from now, that a run will miss if it isn't moved.
+
+    A run too young to judge misses none. Most runs miss none, so the free upstreams need no look.
+    """
+    if progress.elapsed_ms < MIN_ELAPSED_MS:
+        return ()
+    remaining_ms = _predict_remaining_ms(progress)
+    all_limits_ms = (limits.objective_ms, limits.late_ms, limits.deadline_ms)
+    return tuple(limit_ms for limit_ms in all_limits_ms if 0 < limit_ms < remaining_ms)
 
 
 def _predict_remaining_ms(progress: RunProgress) -> float:
