Don't start tasks again that are done when leadership changes hands

A new leader lists, and so acknowledges, an end before the entry host submits the job to it, and dropped the end as one of an unknown job; and the answer of a leader that hands over named where runs may be alive, but not which tasks were done.

An end or a list that names a task which the job doesn't have is ignored (a step out of range was an IndexError).

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -149,6 +149,25 @@
     When it stops leading
     Then the job's answer names the upstream that runs it
 
+  Scenario: A leader that hands over names the tasks that are done
+    # Guards against a task that is done and is started again by the next leader.
+    Given a leader of 1 in-memory upstreams with room for two tasks each
+    When it stops leading after one of a job's two tasks has ended
+    Then the job's answer names the task that is done
+    And a next leader that gets the job starts only the other task
+
+  Scenario: A task that ended before its job is submitted again is not started again
+    # Guards against a second start of a task whose end the next leader hears of before it gets the job.
+    Given a leader of 1 in-memory upstreams with room for two tasks each
+    When a run of an earlier leader ends there before its job is submitted again
+    Then the job is answered as succeeded without a start
+
+  Scenario: Ends and runs of unknown tasks are ignored
+    # An end that named a step which its job doesn't have ended the whole process.
+    Given a leader of 1 in-memory upstreams with room for two tasks each
+    When the upstream reports an end of a step that a resubmitted job doesn't have
+    Then the job is answered as succeeded after one start
+
   Scenario: A new leader doesn't extend the lease of runs that it hasn't adopted
     # Guards against a run that outlives the lease known to the old leader, which restarts its task.
     Given a host that begins to lead an upstream with a run of an earlier leader
--- /dev/null
+++ b/features/steps/earlier_runs.py
@@ -0,0 +1,135 @@
+"""Steps on what a new leader learns of the runs that an earlier one started."""
+
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import anyio
+from behave import then, when
+from behave.runner import Context
+from support.upstreams import EndlessConnector, EndlessUpstream, make_job
+
+from fireflybridge_execution import DirectoryView, Scheduler
+from fireflybridge_jobs import (
+    EarlierRuns,
+    Job,
+    Moved,
+    RunningRun,
+    Succeeded,
+    TaskId,
+)
+
+LIMIT_S = 5.0
+JOB = make_job("a", 2)
+SINGLE_TASK_JOB = make_job("b", 1)
+FENCES = (1000, 2000)
+
+
+@asynccontextmanager
+async def run_scheduler(
+    context: Context, fence: int, connector: EndlessConnector
+) -> AsyncIterator[Scheduler]:
+    """Run a scheduler that leads the upstreams of the scenario."""
+    scheduler = Scheduler(connector, lambda _event: None, lambda: None)
+    async with anyio.create_task_group() as group:
+        group.start_soon(scheduler.serve)
+        scheduler.lead({"z1": fence})
+        scheduler.set_upstreams(DirectoryView(context.infos, time.monotonic()))
+        yield scheduler
+        group.cancel_scope.cancel()
+
+
+async def wait_until(condition: object) -> None:
+    """Wait until a function returns a true value."""
+    assert callable(condition)
+    with anyio.fail_after(LIMIT_S):
+        while not condition():
+            await anyio.sleep(0.01)
+
+
+async def submit(context: Context, scheduler: Scheduler, job: Job, earlier: EarlierRuns) -> None:
+    context.answer = await scheduler.submit(job, 0.0, earlier)
+
+
+@when("it stops leading after one of a job's two tasks has ended")
+def hand_over(context: Context) -> None:
+    anyio.run(hand_over_half_done, context)
+
+
+async def hand_over_half_done(context: Context) -> None:
+    """Stop leading with one of two tasks done, and submit the job to the next leader."""
+    connector = EndlessConnector()
+    async with run_scheduler(context, FENCES[0], connector) as scheduler:
+        async with anyio.create_task_group() as group:
+            group.start_soon(submit, context, scheduler, JOB, None)
+            await wait_until(lambda: "u0" in connector.upstreams)
+            upstream = connector.upstreams["u0"]
+            await wait_until(lambda: len(upstream.running) == 2)
+            context.done = upstream.running[0].task
+            upstream.end_run()
+            await wait_until(lambda: upstream.acknowledged == 1)
+            scheduler.lead({})
+    context.moved = context.answer
+    upstream.running.clear()
+    async with run_scheduler(context, FENCES[1], connector) as scheduler:
+        async with anyio.create_task_group() as group:
+            group.start_soon(submit, context, scheduler, JOB, context.moved.earlier)
+            await wait_until(lambda: upstream.running)
+            context.started_again = [run.task for run in upstream.running]
+            upstream.end_run()
+
+
+@then("the job's answer names the task that is done")
+def check_moved(context: Context) -> None:
+    assert isinstance(context.moved, Moved), context.moved
+    assert context.moved.earlier.done == frozenset({context.done}), context.moved
+
+
+@then("a next leader that gets the job starts only the other task")
+def check_started_again(context: Context) -> None:
+    assert context.done not in context.started_again, context.started_again
+    assert len(context.started_again) == 1, context.started_again
+    assert context.answer == Succeeded(), context.answer
+
+
+@when("a run of an earlier leader ends there before its job is submitted again")
+def submit_after_end(context: Context) -> None:
+    task = TaskId(SINGLE_TASK_JOB.id, 0, 0, 0)
+    anyio.run(resubmit_after_end, context, task)
+
+
+@when("the upstream reports an end of a step that a resubmitted job doesn't have")
+def submit_after_unknown_end(context: Context) -> None:
+    task = TaskId(SINGLE_TASK_JOB.id, 0, 7, 0)
+    anyio.run(resubmit_after_end, context, task)
+
+
+async def resubmit_after_end(context: Context, task: TaskId) -> None:
+    """Report an end of a task, then submit its job with what is known of its earlier runs."""
+    upstream = EndlessUpstream()
+    upstream.running.append(RunningRun(task, 1, 50))
+    upstream.end_run()
+    connector = EndlessConnector()
+    connector.upstreams["u0"] = upstream
+    earlier = EarlierRuns(frozenset({"u0"}))
+    async with run_scheduler(context, FENCES[0], connector) as scheduler:
+        await wait_until(lambda: upstream.acknowledged == 1)
+        async with anyio.create_task_group() as group:
+            group.start_soon(submit, context, scheduler, SINGLE_TASK_JOB, earlier)
+            with anyio.move_on_after(1):
+                await wait_until(lambda: hasattr(context, "answer") or upstream.running)
+            if upstream.running:
+                upstream.end_run()
+    context.starts = upstream.starts
+
+
+@then("the job is answered as succeeded without a start")
+def check_no_start(context: Context) -> None:
+    assert context.starts == 0, context.starts
+    assert context.answer == Succeeded(), context.answer
+
+
+@then("the job is answered as succeeded after one start")
+def check_one_start(context: Context) -> None:
+    assert context.starts == 1, context.starts
+    assert context.answer == Succeeded(), context.answer
--- a/features/steps/free_upstreams.py
+++ b/features/steps/free_upstreams.py
@@ -11,23 +11,10 @@
 from hypothesis import given as for_all
 from hypothesis import strategies
 from support.hypothesis_settings import deterministic_settings
+from support.upstreams import NEEDS, EndlessConnector, describe_upstreams, make_job
 
-from fireflybridge_execution import Accepted, DirectoryView, Hold, Scheduler, Start, Stop
-from fireflybridge_jobs import (
-    Answer,
-    EndedRun,
-    Job,
-    NotRun,
-    Resources,
-    RoutePolicy,
-    RunningRun,
-    RunOutcome,
-    RunReport,
-    Step,
-    Succeeded,
-    UpstreamInfo,
-    UpstreamState,
-)
+from fireflybridge_execution import DirectoryView, Scheduler
+from fireflybridge_jobs import Answer, Job, NotRun, Resources, Succeeded
 from fireflybridge_placement import (
     TaskRequirements,
     UpstreamCandidate,
@@ -35,8 +22,6 @@
     choose_upstream,
 )
 
-CAPACITY = Resources(16000, 65536, 0)
-NEEDS = Resources(6800, 64, 0)
 EXAMPLES = 300
 LIMIT_S = 5.0
 
@@ -122,65 +107,9 @@
     check()
 
 
-class EndlessUpstream:
-    """An in-memory upstream whose runs end when a test says so."""
-
-    def __init__(self) -> None:
-        self.running: list[RunningRun] = []
-        self.ended: list[EndedRun] = []
-
-    def open(self, upstream: UpstreamInfo) -> "EndlessUpstream":
-        """Return the upstream as its own connection."""
-        return self
-
-    async def start(self, command: Start, timeout_s: float) -> Accepted:
-        """Start a run."""
-        self.running.append(RunningRun(command.task, command.number, 50))
-        return Accepted(1000.0)
-
-    async def stop(self, command: Stop, timeout_s: float) -> Accepted:
-        """Stop nothing."""
-        return Accepted(1000.0)
-
-    async def hold(self, command: Hold, timeout_s: float) -> RunReport:
-        """Return the lists of runs."""
-        await anyio.sleep(0.01)
-        ended = tuple(run for run in self.ended if run.sequence > command.acknowledged)
-        return RunReport(1000.0, 1, tuple(self.running), ended)
-
-    async def close(self) -> None:
-        """Do nothing, as there is no connection."""
-
-    def end_run(self) -> None:
-        """End the oldest run."""
-        run = self.running.pop(0)
-        sequence = len(self.ended) + 1
-        self.ended.append(EndedRun(sequence, run.task, run.number, RunOutcome.DONE))
-
-
-class EndlessConnector:
-    """Connector to endless upstreams, by id."""
-
-    def __init__(self) -> None:
-        self.upstreams: dict[str, EndlessUpstream] = {}
-
-    def open(self, upstream: UpstreamInfo) -> EndlessUpstream:
-        """Return the upstream itself, which also serves as its connection."""
-        return self.upstreams.setdefault(upstream.id, EndlessUpstream())
-
-
-def make_job(name: str, tasks: int) -> Job:
-    policy = RoutePolicy("orders", "desk", 0, 3, 60000, 1000, 1.6)
-    return Job(name * 16, "work", (Step(tasks, NEEDS, 500),), policy, 60000)
-
-
 @given("a leader of {count:d} in-memory upstreams with room for two tasks each")
 def given_leader(context: Context, count: int) -> None:
-    names = [f"u{index}" for index in range(count)]
-    context.infos = {
-        name: UpstreamInfo(name, "desk", "u:1", "z1", UpstreamState.READY, CAPACITY)
-        for name in names
-    }
+    context.infos = describe_upstreams(count)
 
 
 @when("a job of {tasks:d} endless tasks is submitted to it")
--- /dev/null
+++ b/features/support/upstreams.py
@@ -0,0 +1,84 @@
+"""In-memory upstreams whose runs end when a test says so."""
+
+import anyio
+
+from fireflybridge_execution import Accepted, Hold, Start, Stop
+from fireflybridge_jobs import (
+    EndedRun,
+    Job,
+    Resources,
+    RoutePolicy,
+    RunningRun,
+    RunOutcome,
+    RunReport,
+    Step,
+    UpstreamInfo,
+    UpstreamState,
+)
+
+CAPACITY = Resources(16000, 65536, 0)
+NEEDS = Resources(6800, 64, 0)
+
+
+class EndlessUpstream:
+    """An in-memory upstream whose runs end when a test says so."""
+
+    def __init__(self) -> None:
+        self.running: list[RunningRun] = []
+        self.ended: list[EndedRun] = []
+        self.acknowledged = 0
+        """Sequence number of the last end that a hold has acknowledged."""
+        self.starts = 0
+
+    def open(self, upstream: UpstreamInfo) -> "EndlessUpstream":
+        """Return the upstream as its own connection."""
+        return self
+
+    async def start(self, command: Start, timeout_s: float) -> Accepted:
+        """Start a run."""
+        self.starts += 1
+        self.running.append(RunningRun(command.task, command.number, 50))
+        return Accepted(1000.0)
+
+    async def stop(self, command: Stop, timeout_s: float) -> Accepted:
+        """Stop nothing."""
+        return Accepted(1000.0)
+
+    async def hold(self, command: Hold, timeout_s: float) -> RunReport:
+        """Return the lists of runs."""
+        await anyio.sleep(0.01)
+        self.acknowledged = max(self.acknowledged, command.acknowledged)
+        ended = tuple(run for run in self.ended if run.sequence > command.acknowledged)
+        return RunReport(1000.0, 1, tuple(self.running), ended)
+
+    async def close(self) -> None:
+        """Do nothing, as there is no connection."""
+
+    def end_run(self) -> None:
+        """End the oldest run."""
+        run = self.running.pop(0)
+        sequence = len(self.ended) + 1
+        self.ended.append(EndedRun(sequence, run.task, run.number, RunOutcome.DONE))
+
+
+class EndlessConnector:
+    """Connector to endless upstreams, by id."""
+
+    def __init__(self) -> None:
+        self.upstreams: dict[str, EndlessUpstream] = {}
+
+    def open(self, upstream: UpstreamInfo) -> EndlessUpstream:
+        """Return the upstream itself, which also serves as its connection."""
+        return self.upstreams.setdefault(upstream.id, EndlessUpstream())
+
+
+def describe_upstreams(count: int) -> dict[str, UpstreamInfo]:
+    """Return the directory entries of upstreams with room for two tasks each."""
+    names = (f"u{index}" for index in range(count))
+    ready = UpstreamState.READY
+    return {name: UpstreamInfo(name, "desk", "u:1", "z1", ready, CAPACITY) for name in names}
+
+
+def make_job(name: str, tasks: int) -> Job:
+    policy = RoutePolicy("orders", "desk", 0, 3, 60000, 1000, 1.6)
+    return Job(name * 16, "work", (Step(tasks, NEEDS, 500),), policy, 60000)
--- a/packages/execution/src/fireflybridge_execution/_active_job.py
+++ b/packages/execution/src/fireflybridge_execution/_active_job.py
@@ -117,7 +117,7 @@
 
     def finish(self, task: TaskId) -> None:
         """Record that a task is done and release the steps that depend on its step."""
-        if task in self._done:
+        if task in self._done or not self._has_task(task):
             return
         self._done.add(task)
         self.runs.pop(task, None)
@@ -129,6 +129,15 @@
         if not any(self._remaining):
             self.set_answer(Succeeded())
 
+    def list_done(self) -> frozenset[TaskId]:
+        """Return the tasks that are done."""
+        return frozenset(self._done)
+
+    def _has_task(self, task: TaskId) -> bool:
+        """Return whether a task, which another host or an upstream has named, is one of the job."""
+        steps = self.job.steps
+        return 0 <= task.step < len(steps) and 0 <= task.index < steps[task.step].count
+
     def set_answer(self, answer: Answer) -> Answer:
         """Set the job's answer unless it already has one; return the effective answer."""
         if self.answer is None:
--- a/packages/execution/src/fireflybridge_execution/_scheduler.py
+++ b/packages/execution/src/fireflybridge_execution/_scheduler.py
@@ -20,6 +20,7 @@
 )
 from fireflybridge_execution._placer import Placer
 from fireflybridge_execution._queue import JobQueue
+from fireflybridge_execution._recent_ends import RecentEnds
 from fireflybridge_execution._run_registry import Run
 from fireflybridge_execution._session_manager import SessionManager
 from fireflybridge_jobs import (
@@ -59,6 +60,7 @@
         self._placer = Placer(self._sessions)
         self._queue = JobQueue()
         self._jobs: dict[str, ActiveJob] = {}
+        self._recent_ends = RecentEnds()
 
     @property
     def job_count(self) -> int:
@@ -132,6 +134,9 @@
             )
         )
         self._jobs[job.id] = active
+        if earlier is not None:
+            for task in earlier.done | self._recent_ends.list_done(job.id):
+                active.finish(task)
         for session in self._sessions:
             session.adopt_orphans(job.id)
         self._enqueue(active)
@@ -249,7 +254,9 @@
         """Return where the next leader must look for a job's runs, or None if none was started."""
         if not active.may_have_run and not active.runs:
             return None
-        running = EarlierRuns(self._sessions.list_upstreams_running(active.job.id))
+        running = EarlierRuns(
+            self._sessions.list_upstreams_running(active.job.id), done=active.list_done()
+        )
         if active.earlier is None or self._has_resolved_earlier_runs(active, time.monotonic()):
             return running
         return running.merge(active.earlier)
@@ -352,8 +359,12 @@
 
     def orphan_ended(self, upstream: str, run: EndedRun) -> None:
         """Complete a task whose run an earlier leader started."""
+        if run.outcome is not RunOutcome.DONE:
+            return
         active = self._jobs.get(run.task.job)
-        if active is not None and active.earlier is not None and run.outcome is RunOutcome.DONE:
+        if active is None:
+            self._recent_ends.record(run.task)
+        elif active.earlier is not None:
             active.finish(run.task)
 
     def availability_changed(self, upstream: str) -> None:
--- a/packages/jobs/src/fireflybridge_jobs/_answers.py
+++ b/packages/jobs/src/fireflybridge_jobs/_answers.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from fireflybridge_jobs._jobs import TaskId
+
 
 class RefusalReason(StrEnum):
     """Reason for refusing a job before any of its tasks was started."""
@@ -44,19 +46,23 @@
 
 @dataclass(frozen=True, slots=True)
 class EarlierRuns:
-    """Where runs of an earlier submission of a job may still be running.
+    """What is known of the runs of an earlier submission of a job.
 
-    They may be on the upstreams with these ids, and on any upstream of these failure domains.
+    They may still be running on the upstreams with these ids, and on any upstream of these failure
+    domains. The tasks in ``done`` must not be started again.
     """
 
     upstreams: frozenset[str] = frozenset()
     domains: frozenset[str] = frozenset()
+    done: frozenset[TaskId] = frozenset()
 
     def merge(self, other: "EarlierRuns | None") -> "EarlierRuns":
-        """Return the union of both sets of locations."""
+        """Return the union of what both hold."""
         if other is None:
             return self
-        return EarlierRuns(self.upstreams | other.upstreams, self.domains | other.domains)
+        return EarlierRuns(
+            self.upstreams | other.upstreams, self.domains | other.domains, self.done | other.done
+        )
 
 
 @dataclass(frozen=True, slots=True)
