Contain malformed messages and unexpected errors where they arise

A stop that an overloaded upstream refuses is sent again instead of being taken for confirmed.

Ruled out: deep nesting and damaged pages of the store, which passed before as well.

--- a/features/steps/earlier_runs.py
+++ b/features/steps/earlier_runs.py
@@ -1,7 +1,7 @@
 """Steps on what a new leader learns of the runs that an earlier one started."""
 
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
 import anyio
@@ -9,7 +9,16 @@
 from behave.runner import Context
 from support.upstreams import EndlessConnector, EndlessUpstream, make_job
 
-from fireflybridge_execution import DirectoryView, Scheduler
+from fireflybridge_execution import (
+    Accepted,
+    DirectoryView,
+    ExecutionEvent,
+    Rejected,
+    RejectionReason,
+    Scheduler,
+    Stop,
+    UnexpectedError,
+)
 from fireflybridge_jobs import (
     EarlierRuns,
     Job,
@@ -17,6 +26,7 @@
     RunningRun,
     Succeeded,
     TaskId,
+    UpstreamInfo,
 )
 
 LIMIT_S = 5.0
@@ -27,10 +37,13 @@
 
 @asynccontextmanager
 async def run_scheduler(
-    context: Context, fence: int, connector: EndlessConnector
+    context: Context,
+    fence: int,
+    connector: EndlessConnector,
+    on_event: Callable[[ExecutionEvent], None] = lambda _event: None,
 ) -> AsyncIterator[Scheduler]:
     """Run a scheduler that leads the upstreams of the scenario."""
-    scheduler = Scheduler(connector, lambda _event: None, lambda: None)
+    scheduler = Scheduler(connector, on_event, lambda: None)
     async with anyio.create_task_group() as group:
         group.start_soon(scheduler.serve)
         scheduler.lead({"z1": fence})
@@ -133,3 +146,100 @@
 def check_one_start(context: Context) -> None:
     assert context.starts == 1, context.starts
     assert context.answer == Succeeded(), context.answer
+
+
+class OverloadedConnector(EndlessConnector):
+    """Connector to an upstream that refuses the first stop as overloaded."""
+
+    def open(self, upstream: UpstreamInfo) -> EndlessUpstream:
+        """Return the upstream itself, which also serves as its connection."""
+        return self.upstreams.setdefault(upstream.id, OverloadedUpstream())
+
+
+class OverloadedUpstream(EndlessUpstream):
+    """An upstream that refuses the first stop as overloaded and carries out the next."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.stops = 0
+
+    async def stop(self, command: Stop, timeout_s: float) -> Accepted | Rejected:
+        """Refuse the first stop."""
+        self.stops += 1
+        if self.stops == 1:
+            return Rejected(RejectionReason.UNHEALTHY)
+        self.running = [run for run in self.running if run.task != command.task]
+        return Accepted(1000.0)
+
+
+@when("a job is cancelled while the upstream refuses the first stop as overloaded")
+def cancel_job(context: Context) -> None:
+    anyio.run(cancel_at_overload, context)
+
+
+async def cancel_at_overload(context: Context) -> None:
+    """Cancel a job once its task runs."""
+    connector = OverloadedConnector()
+    async with run_scheduler(context, FENCES[0], connector) as scheduler:
+        async with anyio.create_task_group() as group:
+            group.start_soon(submit, context, scheduler, SINGLE_TASK_JOB, None)
+            await wait_until(lambda: "u0" in connector.upstreams)
+            upstream = connector.upstreams["u0"]
+            await wait_until(lambda: upstream.running)
+            group.cancel_scope.cancel()
+        with anyio.move_on_after(LIMIT_S):
+            await wait_until(lambda: not upstream.running)
+    context.upstream = upstream
+
+
+@then("the stop is sent again until it is carried out")
+def check_stopped(context: Context) -> None:
+    assert not context.upstream.running, context.upstream.running
+
+
+class FailingConnector(EndlessConnector):
+    """Connector whose first connection to ``u0`` fails with an error that no caller expects."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.opened = 0
+
+    def open(self, upstream: UpstreamInfo) -> EndlessUpstream:
+        """Return the upstream, or raise an error."""
+        if upstream.id == "u0":
+            self.opened += 1
+            if self.opened == 1:
+                raise ZeroDivisionError("a fault of the program")
+        return super().open(upstream)
+
+
+@when("the connection to one of them fails with an unexpected error")
+def fail_session(context: Context) -> None:
+    anyio.run(run_with_failing_session, context)
+
+
+async def run_with_failing_session(context: Context) -> None:
+    """Run a job while the session with one upstream fails and starts again."""
+    connector = FailingConnector()
+    context.events = []
+    async with run_scheduler(context, FENCES[0], connector, context.events.append) as scheduler:
+        async with anyio.create_task_group() as group:
+            group.start_soon(submit, context, scheduler, SINGLE_TASK_JOB, None)
+            await wait_until(lambda: "u1" in connector.upstreams)
+            await wait_until(lambda: connector.upstreams["u1"].running)
+            connector.upstreams["u1"].end_run()
+        with anyio.move_on_after(LIMIT_S):
+            await wait_until(lambda: scheduler._sessions.find("u0").synced)
+        context.restarted = scheduler._sessions.find("u0").synced
+
+
+@then("the error is reported, and a job is answered as succeeded")
+def check_contained(context: Context) -> None:
+    errors = [event for event in context.events if isinstance(event, UnexpectedError)]
+    assert [event.action for event in errors] == ["session with u0"], errors
+    assert context.answer == Succeeded(), context.answer
+
+
+@then("the session with that upstream starts again")
+def check_restarted(context: Context) -> None:
+    assert context.restarted
--- a/features/steps/leader_election.py
+++ b/features/steps/leader_election.py
@@ -74,7 +74,8 @@
         EventLogger(),
     )
     async with anyio.create_task_group() as group:
-        group.start_soon(election.run, group)
+        group.start_soon(election.apply_terms)
+        group.start_soon(election.run)
         group.start_soon(leadership.follow)
         with anyio.move_on_after(TIMEOUT_S):
             while not election.leads:
--- a/packages/entry/src/fireflybridge_entry/_codec.py
+++ b/packages/entry/src/fireflybridge_entry/_codec.py
@@ -138,7 +138,7 @@
         case _AnswerMessage(kind="failed", reason=reason):
             return Failed(reason)
         case _AnswerMessage(kind="not-run", reason=reason, retry_after_s=retry_after_s):
-            return NotRun(RefusalReason(reason), retry_after_s)
+            return NotRun(_parse_refusal(reason), retry_after_s)
         case _AnswerMessage(kind="timed-out", reason=reason):
             return TimedOut(reason)
         case _AnswerMessage(kind="moved", earlier=earlier):
@@ -147,8 +147,15 @@
             raise CodecError(f"answer of unknown kind {message.kind!r}")
 
 
+def _parse_refusal(reason: str) -> RefusalReason:
+    try:
+        return RefusalReason(reason)
+    except ValueError as error:
+        raise CodecError(f"unknown reason of a refusal {reason!r}") from error
+
+
 def _decode(decoder: "msgspec.json.Decoder[T]", body: bytes) -> T:
     try:
         return decoder.decode(body)
-    except msgspec.DecodeError as error:
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise CodecError(str(error)) from error
--- a/packages/execution/src/fireflybridge_execution/__init__.py
+++ b/packages/execution/src/fireflybridge_execution/__init__.py
@@ -19,6 +19,7 @@
     RunMoved,
     RunNotCompleted,
     TasksPlaced,
+    UnexpectedError,
     UpstreamEjected,
     UpstreamSynced,
 )
@@ -43,6 +44,7 @@
     "Start",
     "Stop",
     "TasksPlaced",
+    "UnexpectedError",
     "UpstreamDirectory",
     "UpstreamEjected",
     "UpstreamSynced",
--- a/packages/execution/src/fireflybridge_execution/_events.py
+++ b/packages/execution/src/fireflybridge_execution/_events.py
@@ -92,6 +92,14 @@
     failures: int
 
 
+@dataclass(frozen=True, slots=True)
+class UnexpectedError:
+    """A fault of the program has ended one action, such as a session or a placement."""
+
+    action: str
+    error: Exception
+
+
 ExecutionEvent = (
     JobReceived
     | TasksPlaced
@@ -100,4 +108,5 @@
     | JobEnded
     | UpstreamSynced
     | UpstreamEjected
+    | UnexpectedError
 )
--- a/packages/execution/src/fireflybridge_execution/_run_listener.py
+++ b/packages/execution/src/fireflybridge_execution/_run_listener.py
@@ -40,6 +40,9 @@
     def superseded(self, upstream: str) -> None:
         """Handle a command that was rejected because another host leads the failure domain."""
 
+    def session_failed(self, upstream: str, error: Exception) -> None:
+        """Handle an unexpected error that has ended a session; another one replaces it."""
+
     def upstream_synced(self, upstream: str, incarnation: int, running: int) -> None:
         """Handle the first list of all runs of the upstream."""
 
--- a/packages/execution/src/fireflybridge_execution/_scheduler.py
+++ b/packages/execution/src/fireflybridge_execution/_scheduler.py
@@ -15,6 +15,7 @@
     RunMoved,
     RunNotCompleted,
     TasksPlaced,
+    UnexpectedError,
     UpstreamEjected,
     UpstreamSynced,
 )
@@ -218,14 +219,23 @@
                 return
             if not self._has_resolved_earlier_runs(active, now_s):
                 continue
-            placements = self._placer.place(active, now_s)
-            if placements:
-                self._on_event(TasksPlaced(active.job.id, placements, len(active.waiting)))
-            if active.waiting:
+            self._place_job(active, now_s)
+            if active.waiting and active.answer is None:
                 attempts_left -= 1
             else:
                 self._queue.remove(active)
 
+    def _place_job(self, active: ActiveJob, now_s: float) -> None:
+        """Place a job's waiting tasks; an unexpected error ends the job and not the scheduler."""
+        try:
+            placements = self._placer.place(active, now_s)
+        except Exception as error:
+            self._on_event(UnexpectedError(f"placement of job {active.job.id}", error))
+            active.set_answer(TimedOut("its tasks could not be placed"))
+            return
+        if placements:
+            self._on_event(TasksPlaced(active.job.id, placements, len(active.waiting)))
+
     def _abandon_late_jobs(self) -> None:
         """Answer jobs that can't be done, or whose earlier runs can't be ruled out, in time."""
         now_s = time.monotonic()
@@ -379,6 +389,10 @@
         """Report that another host's term has replaced the one of this host."""
         self._on_superseded()
 
+    def session_failed(self, upstream: str, error: Exception) -> None:
+        """Report an unexpected error that has ended a session."""
+        self._on_event(UnexpectedError(f"session with {upstream}", error))
+
     def upstream_synced(self, upstream: str, incarnation: int, running: int) -> None:
         """Report that an upstream has listed its runs."""
         session = self._sessions.find(upstream)
--- a/packages/execution/src/fireflybridge_execution/_session.py
+++ b/packages/execution/src/fireflybridge_execution/_session.py
@@ -387,9 +387,7 @@
             reply = await connection.stop(command, COMMAND_TIMEOUT_S)
         except ExchangeError as error:
             self._handle_call_error(error)
-            await anyio.sleep(RETRY_S)
-            if run.key in self.runs:
-                self._queue_sender.send_nowait(run.key)
+            await self._retry_stop(run)
             return
         match reply:
             case Accepted():
@@ -398,10 +396,18 @@
                 self._listener.superseded(self.info.id)
             case Rejected(reason=RejectionReason.OTHER_INCARNATION as reason):
                 self._handle_rejection(reason)
+            case Rejected(reason=RejectionReason.UNHEALTHY):
+                # An overloaded upstream has not carried the stop out.
+                await self._retry_stop(run)
             case Rejected():
                 # Other rejections are taken to mean that the upstream has no such run.
                 self._confirm(run)
 
+    async def _retry_stop(self, run: Run) -> None:
+        await anyio.sleep(RETRY_S)
+        if run.key in self.runs:
+            self._queue_sender.send_nowait(run.key)
+
     def _confirm(self, run: Run) -> None:
         current = self.runs.find(run.key)
         if current is None or current.phase is not run.phase:
--- a/packages/execution/src/fireflybridge_execution/_session_manager.py
+++ b/packages/execution/src/fireflybridge_execution/_session_manager.py
@@ -18,6 +18,7 @@
 UNKNOWN_RUN_LIFETIME_S = 2.0  # lease of an earlier leader plus adoption wait of another new one
 # A leader that is cut off from the store keeps using upstreams whose entries have expired.
 REMOVED_UPSTREAM_WAIT_S = 15.0
+RESTART_DELAY_S = 0.5
 
 
 class SessionManager:
@@ -161,7 +162,18 @@
         session = UpstreamSession(info, fence, self._connector, self._listener, self.live_runs)
         self._sessions[info.id] = session
         self._listener.availability_changed(info.id)
-        group.start_soon(session.serve)
+        group.start_soon(self._serve, session)
+
+    async def _serve(self, session: UpstreamSession) -> None:
+        """Serve a session, and replace it after an unexpected error, which must end no other one."""
+        try:
+            await session.serve()
+        except Exception as error:
+            self._listener.session_failed(session.info.id, error)
+            await anyio.sleep(RESTART_DELAY_S)
+            if self.find(session.info.id) is session:
+                self._retire(session)
+                self._reconcile()
 
     def _retire(self, session: UpstreamSession) -> None:
         del self._sessions[session.info.id]
--- a/packages/host/src/fireflybridge_host/_election.py
+++ b/packages/host/src/fireflybridge_host/_election.py
@@ -4,7 +4,6 @@
 import time
 
 import anyio
-from anyio.abc import TaskGroup
 
 from fireflybridge_entry import (
     JobSubmitter,
@@ -72,9 +71,8 @@
         """Return whether this host leads any failure domain."""
         return bool(self._leadership.find_terms_held_by(self._holder))
 
-    async def run(self, group: TaskGroup) -> None:
+    async def run(self) -> None:
         """Follow or lead until cancelled."""
-        group.start_soon(self._apply_terms)
         await self._leadership.changed.wait()
         while True:
             term = self._leadership.terms.get(self._domain)
@@ -262,7 +260,7 @@
     def _takes_precedence(self, peer: Peer) -> bool:
         return (-peer.strength, peer.holder.host) < (-self._strength, self._holder.host)
 
-    async def _apply_terms(self) -> None:
+    async def apply_terms(self) -> None:
         """Make the scheduler lead exactly the failure domains whose terms this host holds."""
         while True:
             led = self._leadership.find_terms_held_by(self._holder)
--- a/packages/host/src/fireflybridge_host/_event_logger.py
+++ b/packages/host/src/fireflybridge_host/_event_logger.py
@@ -14,6 +14,7 @@
     RunMoved,
     RunNotCompleted,
     TasksPlaced,
+    UnexpectedError,
     UpstreamEjected,
     UpstreamSynced,
 )
@@ -114,6 +115,8 @@
                     reason=event.reason,
                     failures=event.failures,
                 )
+            case UnexpectedError(action=action, error=error):
+                self.record_unexpected_error(action, error)
 
     def record_request(self, job: str, route: str, answer: Answer, elapsed_ms: float) -> None:
         """Log and count an answer to a caller."""
--- a/packages/host/src/fireflybridge_host/_host.py
+++ b/packages/host/src/fireflybridge_host/_host.py
@@ -3,7 +3,7 @@
 import signal
 import time
 import uuid
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -32,6 +32,7 @@
 
 UNREADY_LISTEN_S = 1.0  # the load balancer takes this long to notice that the host isn't ready
 DRAIN_CHECK_INTERVAL_S = 0.05
+RESTART_DELAY_S = 0.5  # keeps a task that fails at once from using up the processor
 MAX_PEER_BODY_BYTES = 8 * 1024 * 1024  # a job with the largest body, encoded for another host
 
 
@@ -119,6 +120,14 @@
             ),
             Server(settings.metrics_address, metrics.handle, ServerLimits(), report),
         )
+        self._tasks: Mapping[str, Callable[[], Awaitable[None]]] = {
+            "log of terms": self._leadership.follow,
+            "directory of upstreams": self._directory.follow,
+            "configuration": self._follow_configuration,
+            "heartbeats of senders": self._peer_service.watch_senders,
+            "terms of leadership": self._election.apply_terms,
+            "leader election": self._election.run,
+        }
         self._draining = False
 
     async def run(self) -> None:
@@ -129,15 +138,21 @@
         async with anyio.create_task_group() as group:
             for server in self._servers:
                 group.start_soon(server.serve, group)
-            group.start_soon(self._leadership.follow)
             group.start_soon(self._scheduler.serve)
-            group.start_soon(self._directory.follow)
-            group.start_soon(self._follow_configuration)
-            group.start_soon(self._peer_service.watch_senders)
-            group.start_soon(self._election.run, group)
+            for name, run in self._tasks.items():
+                group.start_soon(self._run_task, name, run)
             await self._wait_for_signals(group)
         self._event_logger.record_lifecycle(7004, "host stopped")
 
+    async def _run_task(self, name: str, run: Callable[[], Awaitable[None]]) -> None:
+        """Run a task until cancelled, and start it again after an unexpected error."""
+        while True:
+            try:
+                await run()
+            except Exception as error:
+                self._event_logger.record_unexpected_error(name, error)
+                await anyio.sleep(RESTART_DELAY_S)
+
     async def _follow_configuration(self) -> None:
         await self._route_table.follow(
             self._ports.configuration,
