Don't take a pause of the own process for the silence of its peers

Cause: a leader cancelled the jobs of every host whose heartbeats it had not read yet when it continued after a pause of more than half a second, and a follower that was paused took its leader for lost.

Change: both count the time on a clock that leaves a pause out: a wait that took much longer than it was meant to counts for what was expected of it. Cancel scopes of hosts without jobs are removed.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -100,6 +100,22 @@
     When a run succeeds on the upstream
     Then the upstream admits a run in addition to 1
 
+  Scenario: Running work is kept when only this process was paused
+    # Guards against a leader that stops the jobs of hosts whose heartbeats it has not read yet.
+    Given a leader that runs a job of another host which sends heartbeats
+    When its process is paused for 1.0 s and the next heartbeat arrives 0.3 s later
+    Then the job of that host still runs
+    When no heartbeat arrives for 1.0 s
+    Then the job of that host is cancelled
+
+  Scenario: A leader that replies isn't taken for lost after a pause of its follower
+    # Guards against a claim by a host that was paused itself while the leader went on.
+    Given a host that follows a leader which replies to heartbeats
+    When the host's process is paused for 1.0 s during a heartbeat
+    Then the leader isn't lost
+    When the leader stops replying
+    Then the leader is lost within 2 s
+
   Scenario: The newest term of a failure domain is in force, in any order of arrival
     Then of terms with tokens 2000, 1003 and 3000 in any order the one with 3000 is in force
     And a provisional term after 2000 is newer than it and older than the next in the log
--- a/packages/entry/src/fireflybridge_entry/_leader_monitor.py
+++ b/packages/entry/src/fireflybridge_entry/_leader_monitor.py
@@ -12,6 +12,7 @@
     decode_heartbeat_reply,
     encode_heartbeat,
 )
+from fireflybridge_entry._silence import WaitingClock
 from fireflybridge_http import Connection, ExchangeError
 from fireflybridge_leadership import Holder, Leadership, Term
 
@@ -45,26 +46,30 @@
     async def watch(self, term: Term, duration_s: float | None = None) -> LeaderLoss | None:
         """Return why the leader was lost, or None after ``duration_s`` or once its term has ended."""
         connection = Connection(term.holder.address)
-        started_s = last_reply_s = time.monotonic()
+        started_s = time.monotonic()
+        clock = WaitingClock()
+        last_reply_s = clock.now_s
         refusals = 0
         try:
             while self._leadership.terms.get(term.domain) == term:
                 if duration_s is not None and time.monotonic() > started_s + duration_s:
                     return None
-                match await self._exchange(connection, term.holder):
+                with clock.count(HEARTBEAT_TIMEOUT_S):
+                    result = await self._exchange(connection, term.holder)
+                match result:
                     case HeartbeatReply(peers=peers):
                         self.peers = peers
-                        last_reply_s = time.monotonic()
+                        last_reply_s = clock.now_s
                         refusals = 0
-                        await self._leadership.changed.wait(HEARTBEAT_INTERVAL_S)
+                        with clock.count(HEARTBEAT_INTERVAL_S):
+                            await self._leadership.changed.wait(HEARTBEAT_INTERVAL_S)
                     case _FailedHeartbeat(reason=reason, refused=refused):
                         refusals = refusals + 1 if refused else 0
-                        if (
-                            refusals >= MAX_REFUSALS
-                            or time.monotonic() - last_reply_s > PEER_TIMEOUT_S
-                        ):
+                        silent_s = clock.now_s - last_reply_s
+                        if refusals >= MAX_REFUSALS or silent_s > PEER_TIMEOUT_S:
                             return LeaderLoss(reason)
-                        await anyio.sleep(RETRY_DELAY_S)
+                        with clock.count(RETRY_DELAY_S):
+                            await anyio.sleep(RETRY_DELAY_S)
             return None
         finally:
             await connection.close()
--- a/packages/entry/src/fireflybridge_entry/_peer_service.py
+++ b/packages/entry/src/fireflybridge_entry/_peer_service.py
@@ -1,6 +1,5 @@
 """Requests of other hosts: heartbeats, and submissions of jobs while this host leads."""
 
-import time
 from collections.abc import Collection
 from dataclasses import dataclass
 
@@ -19,6 +18,7 @@
 )
 from fireflybridge_entry._job_scheduler import JobScheduler
 from fireflybridge_entry._leader_monitor import PEER_TIMEOUT_S
+from fireflybridge_entry._silence import WaitingClock
 from fireflybridge_http import Request, Response
 from fireflybridge_jobs import Answer, Moved, TimedOut
 from fireflybridge_leadership import Leadership
@@ -28,7 +28,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _ReceivedHeartbeat:
-    """Hold a sender of heartbeats and the time when its newest one arrived."""
+    """Hold a sender of heartbeats and the time on the service's clock when its newest one arrived."""
 
     sender: Peer
     received_s: float
@@ -47,6 +47,7 @@
         self._leadership = leadership
         self._heartbeats: dict[str, _ReceivedHeartbeat] = {}
         self._cancel_scopes: dict[str, set[anyio.CancelScope]] = {}
+        self._clock = WaitingClock()
 
     async def handle(self, request: Request) -> Response:
         """Answer one request."""
@@ -61,8 +62,9 @@
     async def watch_senders(self) -> None:
         """Cancel the jobs of hosts whose heartbeats have stopped; run until cancelled."""
         while True:
-            await anyio.sleep(PEER_CHECK_INTERVAL_S)
-            oldest_s = time.monotonic() - PEER_TIMEOUT_S
+            with self._clock.count(PEER_CHECK_INTERVAL_S):
+                await anyio.sleep(PEER_CHECK_INTERVAL_S)
+            oldest_s = self._clock.now_s - PEER_TIMEOUT_S
             for host in [
                 host
                 for host, heartbeat in self._heartbeats.items()
@@ -85,7 +87,7 @@
             sender = decode_heartbeat(request.body)
         except CodecError:
             return Response(400)
-        self._heartbeats[sender.holder.host] = _ReceivedHeartbeat(sender, time.monotonic())
+        self._heartbeats[sender.holder.host] = _ReceivedHeartbeat(sender, self._clock.now_s)
         peers = tuple(
             heartbeat.sender
             for heartbeat in self._heartbeats.values()
@@ -111,4 +113,6 @@
                 )
             finally:
                 scopes.discard(scope)
+                if not scopes:
+                    self._cancel_scopes.pop(submission.sender, None)
         return encode_answer(answer)
