--- a/features/steps/malformed.py
+++ b/features/steps/malformed.py
@@ -105,7 +105,7 @@
     "platform.addr": "10.0.0.9:1",
 }
 
-Path_ = tuple[str | int, ...]
+JsonPath = tuple[str | int, ...]
 _junk = strategies.one_of(
     strategies.none(),
     strategies.booleans(),
@@ -115,8 +115,8 @@
 )
 
 
-class DictSubmitter:
-    """A submitter that accepts every job without running it."""
+class RecordingSubmitter:
+    """A submitter that records each job and answers it without running it."""
 
     def __init__(self) -> None:
         self.jobs: list[Job] = []
@@ -127,7 +127,7 @@
         return Succeeded()
 
 
-def list_places(value: Any, path: Path_ = ()) -> list[Path_]:
+def list_places(value: Any, path: JsonPath = ()) -> list[JsonPath]:
     """Return the paths of all values within a JSON value."""
     children = value.items() if isinstance(value, dict) else enumerate(value)
     nested = (
@@ -142,7 +142,7 @@
     return list(nested)
 
 
-def damage(value: Any, path: Path_, junk: Any, remove: bool) -> Any:
+def damage(value: Any, path: JsonPath, junk: Any, remove: bool) -> Any:
     """Return a copy of a JSON value with one part replaced or removed."""
     copy = json.loads(json.dumps(value))
     target = copy
@@ -172,7 +172,7 @@
     return strategies.one_of(structured, cut, strategies.binary(max_size=40))
 
 
-def make_front_end(submitter: DictSubmitter) -> HttpFrontEnd:
+def make_front_end(submitter: RecordingSubmitter) -> HttpFrontEnd:
     policy = RoutePolicy("r", "p", 0, 1, 100, 10, 1)
     routes = RouteTable()
     routes.put(Configuration(1, (Route("x", "/orders/", policy),), Limits()))
@@ -182,7 +182,7 @@
 async def submit(
     body: bytes, job_id: str = JOB_ID, deadline: str = "100"
 ) -> tuple[Response, list[Job]]:
-    submitter = DictSubmitter()
+    submitter = RecordingSubmitter()
     headers = (("host", "x"), ("x-deadline-ms", deadline))
     request = Request("POST", f"/orders/{job_id}", headers, body)
     return await make_front_end(submitter).handle(request), submitter.jobs
