Drop the trailers of a chunked request

Cause, found on reading the change: llhttp reports trailers as it does headers, and they were appended to the request's headers, where h11 had dropped them. A trailer could so supply a header that the request lacks. A scenario of http.feature failed first.

--- a/features/http.feature
+++ b/features/http.feature
@@ -44,6 +44,11 @@
       | of HTTP/2 by preface       | 400      | closed |
       | of another protocol        | 400      | closed |
 
+  Scenario: Trailers don't pass for headers
+    Given an HTTP server that echoes the names of headers
+    When the raw request "in chunks with a trailer" is sent
+    Then the response lists "host transfer-encoding"
+
   Scenario: Requests are read alike however they are split into segments
     Given an HTTP server that echoes bodies
     Then a series of requests gets the same responses with any split points
--- a/features/steps/http_server.py
+++ b/features/steps/http_server.py
@@ -138,6 +138,20 @@
     context.http_log = HandlerLog()
 
 
+@given("an HTTP server that echoes the names of headers")
+def given_header_echo(context: Context) -> None:
+    async def echo_names(request: Request) -> Response:
+        return Response(200, " ".join(name for name, _ in request.headers).encode())
+
+    context.http_handler = echo_names
+    context.http_log = HandlerLog()
+
+
+@then('the response lists "{names}"')
+def check_names(context: Context, names: str) -> None:
+    assert context.received.data.endswith(names.encode()), context.received
+
+
 @given("an HTTP server whose handler never returns")
 def given_endless_handler(context: Context) -> None:
     log = context.http_log = HandlerLog()
--- a/packages/http/src/fireflybridge_http/_parsing.py
+++ b/packages/http/src/fireflybridge_http/_parsing.py
@@ -65,7 +65,9 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self._count_head(len(name) + len(value))
-        self._headers.append((name.decode("ascii").lower(), value.decode("latin-1").strip()))
+        if self._in_head:
+            # Trailers of a chunked body are dropped, so that they can't pass for headers.
+            self._headers.append((name.decode("ascii").lower(), value.decode("latin-1").strip()))
 
     def on_body(self, data: bytes) -> None:
         self._chunks.append(data)
