Take out twins and dead code found on reading the change once more

Removed: UpstreamIndex.find and EndlessUpstream.open, which nothing called; a second patch of an exchange beside respond(); a connector class where the others put an upstream into the existing one; four wait loops beside wait_until, which is now in support/upstreams.

--- a/features/steps/earlier_runs.py
+++ b/features/steps/earlier_runs.py
@@ -7,7 +7,7 @@
 import anyio
 from behave import then, when
 from behave.runner import Context
-from support.upstreams import EndlessConnector, EndlessUpstream, make_job
+from support.upstreams import WAIT_LIMIT_S, EndlessConnector, EndlessUpstream, make_job, wait_until
 
 from fireflybridge_execution import (
     Accepted,
@@ -33,7 +33,6 @@
     UpstreamInfo,
 )
 
-LIMIT_S = 5.0
 JOB = make_job("a", 2)
 SINGLE_TASK_JOB = make_job("b", 1)
 FENCES = (1000, 2000)
@@ -56,14 +55,6 @@
         group.cancel_scope.cancel()
 
 
-async def wait_until(condition: object) -> None:
-    """Wait until a function returns a true value."""
-    assert callable(condition)
-    with anyio.fail_after(LIMIT_S):
-        while not condition():
-            await anyio.sleep(0.01)
-
-
 async def submit(context: Context, scheduler: Scheduler, job: Job, earlier: EarlierRuns) -> None:
     context.answer = await scheduler.submit(job, 0.0, earlier)
 
@@ -152,14 +143,6 @@
     assert context.answer == Succeeded(), context.answer
 
 
-class OverloadedConnector(EndlessConnector):
-    """Connector to an upstream that refuses the first stop as overloaded."""
-
-    def open(self, upstream: UpstreamInfo) -> EndlessUpstream:
-        """Return the upstream itself, which also serves as its connection."""
-        return self.upstreams.setdefault(upstream.id, OverloadedUpstream())
-
-
 class OverloadedUpstream(EndlessUpstream):
     """An upstream that refuses the first stop as overloaded and carries out the next."""
 
@@ -183,15 +166,14 @@
 
 async def cancel_at_overload(context: Context) -> None:
     """Cancel a job once its task runs."""
-    connector = OverloadedConnector()
+    connector = EndlessConnector()
+    upstream = connector.upstreams["u0"] = OverloadedUpstream()
     async with run_scheduler(context, FENCES[0], connector) as scheduler:
         async with anyio.create_task_group() as group:
             group.start_soon(submit, context, scheduler, SINGLE_TASK_JOB, None)
-            await wait_until(lambda: "u0" in connector.upstreams)
-            upstream = connector.upstreams["u0"]
             await wait_until(lambda: upstream.running)
             group.cancel_scope.cancel()
-        with anyio.move_on_after(LIMIT_S):
+        with anyio.move_on_after(WAIT_LIMIT_S):
             await wait_until(lambda: not upstream.running)
     context.upstream = upstream
 
@@ -232,7 +214,7 @@
             await wait_until(lambda: "u1" in connector.upstreams)
             await wait_until(lambda: connector.upstreams["u1"].running)
             connector.upstreams["u1"].end_run()
-        with anyio.move_on_after(LIMIT_S):
+        with anyio.move_on_after(WAIT_LIMIT_S):
             await wait_until(lambda: scheduler._sessions.find("u0").synced)
         context.restarted = scheduler._sessions.find("u0").synced
 
--- a/features/steps/free_upstreams.py
+++ b/features/steps/free_upstreams.py
@@ -11,7 +11,7 @@
 from hypothesis import given as for_all
 from hypothesis import strategies
 from support.hypothesis_settings import deterministic_settings
-from support.upstreams import NEEDS, EndlessConnector, describe_upstreams, make_job
+from support.upstreams import NEEDS, EndlessConnector, describe_upstreams, make_job, wait_until
 
 from fireflybridge_execution import DirectoryView, Scheduler
 from fireflybridge_jobs import Answer, Job, NotRun, Resources, Succeeded
@@ -23,7 +23,6 @@
 )
 
 EXAMPLES = 300
-LIMIT_S = 5.0
 
 _resources = strategies.builds(
     Resources, strategies.sampled_from((0, 2400, 9200, 16000, 24000)), strategies.just(65536)
@@ -133,23 +132,19 @@
         scheduler.lead({"z1": 1000})
         scheduler.set_upstreams(DirectoryView(context.infos, time.monotonic()))
         group.start_soon(submit, make_job("a", tasks))
-        with anyio.fail_after(LIMIT_S):
-            while sum(len(u.running) for u in connector.upstreams.values()) < tasks:
-                await anyio.sleep(0.01)
+        running = connector.upstreams.values
+        await wait_until(lambda: sum(len(u.running) for u in running()) >= tasks)
         context.placed = Counter(
             {name: len(upstream.running) for name, upstream in connector.upstreams.items()}
         )
         await submit(make_job("b", 1))
         connector.upstreams["u1"].end_run()
         group.start_soon(submit, make_job("c", 1))
-        with anyio.fail_after(LIMIT_S):
-            while not any(run.task.job[0] == "c" for run in connector.upstreams["u1"].running):
-                await anyio.sleep(0.01)
+        full = connector.upstreams["u1"]
+        await wait_until(lambda: any(run.task.job[0] == "c" for run in full.running))
         connector.upstreams["u1"].end_run()
         connector.upstreams["u1"].end_run()
-        with anyio.fail_after(LIMIT_S):
-            while len(context.answers) < 2:
-                await anyio.sleep(0.01)
+        await wait_until(lambda: len(context.answers) == 2)
         group.cancel_scope.cancel()
 
 
--- a/features/steps/malformed.py
+++ b/features/steps/malformed.py
@@ -208,15 +208,6 @@
     assert all(len(job.id) == 16 and job.id.isalnum() for job in jobs), jobs
 
 
-def answering(owner: type, body: bytes) -> Any:
-    """Patch the exchange of a connection or a pool to return a response with a body."""
-
-    async def exchange(*_: object) -> Response:
-        return Response(200, body)
-
-    return mock.patch.object(owner, "exchange", exchange)
-
-
 async def check_report(body: bytes) -> None:
     connection = HttpCommandConnection(UPSTREAM)
     connection._connection.exchange = respond(body)  # type: ignore[method-assign]
@@ -245,7 +236,7 @@
 
 
 async def check_store_call(body: bytes, call: Callable[[LogClient], Awaitable[object]]) -> None:
-    with answering(ConnectionPool, body):
+    with mock.patch.object(ConnectionPool, "exchange", respond(body)):
         try:
             await call(LogClient("10.0.0.1:1"))
         except StoreError:
--- a/features/support/upstreams.py
+++ b/features/support/upstreams.py
@@ -1,5 +1,7 @@
 """In-memory upstreams whose runs end when a test says so."""
 
+from collections.abc import Callable
+
 import anyio
 
 from fireflybridge_execution import Accepted, Hold, Start, Stop
@@ -18,6 +20,7 @@
 
 CAPACITY = Resources(16000, 65536, 0)
 NEEDS = Resources(6800, 64, 0)
+WAIT_LIMIT_S = 5.0
 
 
 class EndlessUpstream:
@@ -30,10 +33,6 @@
         """Sequence number of the last end that a hold has acknowledged."""
         self.starts = 0
 
-    def open(self, upstream: UpstreamInfo) -> "EndlessUpstream":
-        """Return the upstream as its own connection."""
-        return self
-
     async def start(self, command: Start, timeout_s: float) -> Accepted:
         """Start a run."""
         self.starts += 1
@@ -82,3 +81,10 @@
 def make_job(name: str, tasks: int) -> Job:
     policy = RoutePolicy("orders", "desk", 0, 3, 60000, 1000, 1.6)
     return Job(name * 16, "work", (Step(tasks, NEEDS, 500),), policy, 60000)
+
+
+async def wait_until(condition: Callable[[], object]) -> None:
+    """Wait until a condition holds; raise ``TimeoutError`` after ``WAIT_LIMIT_S``."""
+    with anyio.fail_after(WAIT_LIMIT_S):
+        while not condition():
+            await anyio.sleep(0.01)
--- a/packages/placement/src/fireflybridge_placement/_index.py
+++ b/packages/placement/src/fireflybridge_placement/_index.py
@@ -55,10 +55,6 @@
         if not group:
             del self._groups[key]
 
-    def find(self, upstream: str) -> UpstreamCandidate | None:
-        """Return an upstream's candidate, or None if it can't take work."""
-        return self._candidates.get(upstream)
-
     def choose(self, requirements: TaskRequirements) -> UpstreamCandidate | None:
         """Return the upstream that ``choose_upstream`` chooses from all of them, or None."""
         chosen = choose_upstream(requirements, self._preselect(requirements))
