Don't start a resubmitted job on lists of runs that are older than its runs

EarlierRuns now carries the fencing token of the leader that started the runs, for each upstream and failure domain; a list counts only if it was made under that token, which is then this host's own, or a higher one. Until its newer term arrives the job waits, as for any unknown run.

"A job is not started on lists of runs that are older than its last leader's term" failed before (1 early start) and passes.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -166,6 +166,13 @@
     Then none of its tasks is started
     And the job's task that runs in "z2" is adopted and the other is started once
 
+  Scenario: A job is not started on lists of runs that are older than its last leader's term
+    # Guards against a second run at a host that gets a job before it hears that its own newer term is recorded.
+    Given a leader of 2 in-memory upstreams with room for two tasks each
+    When a leader under a newer token hands over a job that runs on one of them
+    Then the host starts nothing until it leads under a newer token still
+    And it adopts the run then
+
   Scenario: A lost leader's job is not started beside runs on an upstream whose entry has expired
     # Guards against a second run of a task that runs on an upstream known only to a cut-off leader.
     Given a host that leads every failure domain and whose directory lacks an upstream
--- a/features/steps/decisions.py
+++ b/features/steps/decisions.py
@@ -390,7 +390,7 @@
         scheduler.lead({"z1": 1000})
         scheduler.set_upstreams(DirectoryView(infos, time.monotonic()))
         await anyio.sleep(EARLIER_RUNS_EXPIRED_S)
-        group.start_soon(submit_job, context, scheduler, EarlierRuns(frozenset({"z2"})))
+        group.start_soon(submit_job, context, scheduler, EarlierRuns({"z2": 500}))
         await anyio.sleep(BEFORE_NEXT_TERM_S)
         record_early_starts(context)
         scheduler.lead({"z1": 1000, "z2": 2000})
@@ -433,12 +433,12 @@
 
 @when("the previous leader hands over a job that runs on that upstream")
 def _(context: Context) -> None:
-    anyio.run(run_takeover, context, EarlierRuns(frozenset({"z2"})))
+    anyio.run(run_takeover, context, EarlierRuns({"z2": 500}))
 
 
 @when("a lost leader's job is submitted to it")
 def _(context: Context) -> None:
-    anyio.run(run_takeover, context, EarlierRuns(domains=frozenset({"z1", "z2"})))
+    anyio.run(run_takeover, context, EarlierRuns(domains={"z1": 500, "z2": 500}))
 
 
 async def run_takeover(context: Context, earlier: EarlierRuns) -> None:
@@ -496,7 +496,7 @@
 
 @then("the job's answer names the upstream that runs it")
 def _(context: Context) -> None:
-    assert context.answer == Moved(EarlierRuns(frozenset({"z1"}))), context.answer
+    assert context.answer == Moved(EarlierRuns({"z1": 1000})), context.answer
 
 
 @then("none of its tasks is started")
--- a/features/steps/earlier_runs.py
+++ b/features/steps/earlier_runs.py
@@ -21,6 +21,7 @@
     UnexpectedError,
     UpstreamEjected,
 )
+from fireflybridge_execution._session import UpstreamSession
 from fireflybridge_http import ExchangeError, ExchangeStep
 from fireflybridge_jobs import (
     EarlierRuns,
@@ -35,7 +36,8 @@
 
 JOB = make_job("a", 2)
 SINGLE_TASK_JOB = make_job("b", 1)
-FENCES = (1000, 2000)
+FENCES = (1000, 2000, 3000)
+BEFORE_NEXT_TERM_S = 0.3  # shorter than the time after which unknown runs have ended
 
 
 @asynccontextmanager
@@ -119,7 +121,7 @@
     upstream.end_run()
     connector = EndlessConnector()
     connector.upstreams["u0"] = upstream
-    earlier = EarlierRuns(frozenset({"u0"}))
+    earlier = EarlierRuns({"u0": FENCES[0]})
     async with run_scheduler(context, FENCES[0], connector) as scheduler:
         await wait_until(lambda: upstream.acknowledged == 1)
         async with anyio.create_task_group() as group:
@@ -131,6 +133,48 @@
     context.starts = upstream.starts
 
 
+@when("a leader under a newer token hands over a job that runs on one of them")
+def hand_over_to_stale_leader(context: Context) -> None:
+    anyio.run(resubmit_to_stale_leader, context)
+
+
+async def resubmit_to_stale_leader(context: Context) -> None:
+    """Submit a job to a scheduler whose lists of runs are older than the job's run."""
+    connector = EndlessConnector()
+    earlier = EarlierRuns({"u0": FENCES[1]})
+    async with run_scheduler(context, FENCES[0], connector) as scheduler:
+        await wait_until(lambda: len(list_synced(scheduler)) == len(context.infos))
+        upstream = connector.upstreams["u0"]
+        upstream.running.append(RunningRun(TaskId(SINGLE_TASK_JOB.id, 0, 0, 0), 1, 50))
+        async with anyio.create_task_group() as group:
+            group.start_soon(submit, context, scheduler, SINGLE_TASK_JOB, earlier)
+            await anyio.sleep(BEFORE_NEXT_TERM_S)
+            context.early_starts = count_starts(connector)
+            scheduler.lead({"z1": FENCES[2]})
+            await wait_until(lambda: len(list_synced(scheduler)) == len(context.infos))
+            upstream.end_run()
+        context.starts = count_starts(connector)
+
+
+def list_synced(scheduler: Scheduler) -> list[UpstreamSession]:
+    return [session for session in scheduler._sessions if session.synced]
+
+
+def count_starts(connector: EndlessConnector) -> int:
+    return sum(upstream.starts for upstream in connector.upstreams.values())
+
+
+@then("the host starts nothing until it leads under a newer token still")
+def check_no_early_start(context: Context) -> None:
+    assert context.early_starts == 0, context.early_starts
+
+
+@then("it adopts the run then")
+def check_adopted(context: Context) -> None:
+    assert context.starts == 0, context.starts
+    assert context.answer == Succeeded(), context.answer
+
+
 @then("the job is answered as succeeded without a start")
 def check_no_start(context: Context) -> None:
     assert context.starts == 0, context.starts
--- a/packages/entry/src/fireflybridge_entry/_submission.py
+++ b/packages/entry/src/fireflybridge_entry/_submission.py
@@ -1,6 +1,7 @@
 """Submission of a job to the leader of the host's failure domain, repeated if it changes."""
 
 import time
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 import anyio
@@ -33,11 +34,14 @@
 
 @dataclass(frozen=True, slots=True)
 class RemoteLeader:
-    """The leader is another host; it accepts jobs at ``address`` and may run them in ``domains``."""
+    """The leader is another host, which accepts jobs at ``address``.
+
+    It may run them in ``domains``; the value is the newest fencing token known of its term there.
+    """
 
     address: str
     incarnation: str
-    domains: frozenset[str] = field(compare=False)
+    domains: Mapping[str, int] = field(compare=False)
 
 
 Leader = LocalLeader | RemoteLeader | None
--- a/packages/execution/src/fireflybridge_execution/_session_manager.py
+++ b/packages/execution/src/fireflybridge_execution/_session_manager.py
@@ -72,18 +72,26 @@
         return max((submitted_s, *self._led_since_s.values())) + UNKNOWN_RUN_LIFETIME_S
 
     def knows_earlier_runs(self, earlier: EarlierRuns) -> bool:
-        """Return whether every upstream that may have an earlier run has listed its runs."""
-        named = (self._sessions.get(name) for name in earlier.upstreams)
+        """Return whether every upstream that may have an earlier run has listed its runs.
+
+        A list under a lower token than the earlier leader's may be older than the runs: this host
+        hasn't heard of its own newer term yet.
+        """
+        named = {name: self._sessions.get(name) for name in earlier.upstreams}
         within = (session for session in self if session.info.failure_domain in earlier.domains)
         return (
-            all(session is not None and session.synced for session in named)
+            all(
+                session is not None and session.synced and session.fence >= earlier.upstreams[name]
+                for name, session in named.items()
+            )
             and all(session.synced for session in within)
+            and all(self._fences.get(name, 0) >= fence for name, fence in earlier.domains.items())
             and all(map(self._knows_all_upstreams, earlier.domains))
         )
 
     def can_learn_earlier_runs(self, earlier: EarlierRuns) -> bool:
         """Return whether this host leads every upstream that may have an earlier run."""
-        return earlier.upstreams <= self._sessions.keys() and all(
+        return earlier.upstreams.keys() <= self._sessions.keys() and all(
             map(self._knows_all_upstreams, earlier.domains)
         )
 
@@ -100,10 +108,13 @@
             > self._last_removal_s.get(domain, self._created_s) + REMOVED_UPSTREAM_WAIT_S
         )
 
-    def list_upstreams_running(self, job: str) -> frozenset[str]:
-        """Return the upstreams on which a run of a job may be alive, including those no longer led."""
-        sessions = chain(self, self._retired)
-        return frozenset(session.info.id for session in sessions if session.runs.has_job(job))
+    def find_upstreams_running(self, job: str) -> dict[str, int]:
+        """Return the upstreams on which a run of a job may be alive, including those no longer led.
+
+        The value is the highest fencing token under which this host has used the upstream.
+        """
+        sessions = sorted(chain(self, self._retired), key=lambda session: session.fence)
+        return {s.info.id: s.fence for s in sessions if s.runs.has_job(job)}
 
     def start(self, group: TaskGroup) -> None:
         """Open the sessions and run them in a task group."""
--- a/packages/host/src/fireflybridge_host/_election.py
+++ b/packages/host/src/fireflybridge_host/_election.py
@@ -219,9 +219,10 @@
         await self._replace_leader(term)
 
     def _make_remote_leader(self, holder: Holder) -> RemoteLeader:
-        led = (term.domain for term in self._leadership.find_terms_held_by(holder))
-        domains = self._domains if self._needs_single_leader else led
-        return RemoteLeader(holder.address, holder.incarnation, frozenset(domains))
+        led = {term.domain: term.fence for term in self._leadership.find_terms_held_by(holder)}
+        # A single leader may hold a newer term than this host has heard of.
+        others = dict.fromkeys(self._domains, 0) if self._needs_single_leader else {}
+        return RemoteLeader(holder.address, holder.incarnation, {**others, **led})
 
     async def _replace_leader(self, lost: Term) -> None:
         """Claim the failure domain until it has another leader or the lost one replies again."""
--- a/packages/jobs/src/fireflybridge_jobs/_answers.py
+++ b/packages/jobs/src/fireflybridge_jobs/_answers.py
@@ -1,6 +1,7 @@
 """Answers to the submission of a job."""
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 from enum import StrEnum
 
 from fireflybridge_jobs._jobs import TaskId
@@ -49,11 +50,13 @@
     """What is known of the runs of an earlier submission of a job.
 
     They may still be running on the upstreams with these ids, and on any upstream of these failure
-    domains. The tasks in ``done`` must not be started again.
+    domains. The value is the fencing token of the leader that started them: a list of runs that
+    another leader got under a lower token may lack them. The tasks in ``done`` must not be started
+    again.
     """
 
-    upstreams: frozenset[str] = frozenset()
-    domains: frozenset[str] = frozenset()
+    upstreams: Mapping[str, int] = field(default_factory=dict)
+    domains: Mapping[str, int] = field(default_factory=dict)
     done: frozenset[TaskId] = frozenset()
 
     def merge(self, other: "EarlierRuns | None") -> "EarlierRuns":
@@ -61,10 +64,18 @@
         if other is None:
             return self
         return EarlierRuns(
-            self.upstreams | other.upstreams, self.domains | other.domains, self.done | other.done
+            _merge_fences(self.upstreams, other.upstreams),
+            _merge_fences(self.domains, other.domains),
+            self.done | other.done,
         )
 
 
+def _merge_fences(first: Mapping[str, int], second: Mapping[str, int]) -> dict[str, int]:
+    """Return the higher fencing token of each name."""
+    names = first.keys() | second.keys()
+    return {name: max(first.get(name, 0), second.get(name, 0)) for name in names}
+
+
 @dataclass(frozen=True, slots=True)
 class Moved:
     """The entry host must resubmit the job to the current leader, which adopts its runs.
