--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -126,8 +126,12 @@
 
   Scenario: The newest term of a failure domain is in force, in any order of arrival
     Then of terms with tokens 2000, 1003 and 3000 in any order the one with 3000 is in force
-    And a provisional term after 2000 is newer than it and older than the next in the log
-    And 2000 provisional ranks after one term stay below the next in the log
+    And a provisional term after one in the log is newer than it and older than the next in the log
+
+  Scenario: Provisional terms of a failure domain have different fencing tokens
+    # Guards against two hosts, or two lives of one, whose commands upstreams can't tell apart (incident inc1).
+    Then provisional terms of 200 hosts in two lives each have different fencing tokens
+    And of 200 provisional terms in a row each is newer than the last, or there is none left
 
   Scenario: A host that lost an append reads at once what came before it
     # Guards against claims that conflict for a second while the long poll of the log returns nothing (incident inc-c388).
@@ -162,6 +166,13 @@
     Then none of its tasks is started
     And the job's task that runs in "z2" is adopted and the other is started once
 
+  Scenario: A job is not started on lists of runs that are older than its last leader's term
+    # Guards against a second run at a host that gets a job before it hears that its own newer term is recorded.
+    Given a leader of 2 in-memory upstreams with room for two tasks each
+    When a leader under a newer token hands over a job that runs on one of them
+    Then the host starts nothing until it leads under a newer token still
+    And it adopts the run then
+
   Scenario: A lost leader's job is not started beside runs on an upstream whose entry has expired
     # Guards against a second run of a task that runs on an upstream known only to a cut-off leader.
     Given a host that leads every failure domain and whose directory lacks an upstream
