Name the terms that a lost leader got after a job was sent to it

A leader that gained failure domains later, or recorded its provisional term, was named with too few domains or too low a token when it was lost, so that the next leader could take the job's earlier runs for known and start the tasks beside them. The submitter now renews the terms of its leader, also for exchanges under way, with each change of the terms; while the directory is unread every failure domain counts.

"A lost leader's job names the terms that the leader got after the job was sent" failed before (z1 only) and passes.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -179,6 +179,15 @@
     When a lost leader's job is submitted to it
     Then the job is abandoned without a start
 
+  Scenario: A lost leader's job names the terms that the leader got after the job was sent
+    # Guards against a next leader that takes the job's earlier runs for known too early.
+    Given an entry host whose job is at a leader of "z1" under token 1000
+    When that leader gains "z2" under token 2000 and is lost
+    Then the job is resubmitted with runs in "z1" under 1000 and in "z2" under 2000
+    Given an entry host whose job is at a leader of "z1" under token 1007
+    When that leader records "z1" under token 2000 and is lost
+    Then the job is resubmitted with runs in "z1" under 2000
+
   Scenario: A leader that hands over names the upstreams of a job's runs
     Given a leader with a job running on one of two upstreams
     When it stops leading
--- a/features/steps/leader_election.py
+++ b/features/steps/leader_election.py
@@ -67,7 +67,7 @@
         OWN,
         leadership,
         context.monitor,
-        SimpleNamespace(set_leader=ignore),
+        SimpleNamespace(set_leader=ignore, renew_leader=ignore),
         SimpleNamespace(lead=ignore, upstream_count=3),
         SimpleNamespace(set_leading=ignore),
         SimpleNamespace(find_strongest=ignore),
--- a/packages/entry/src/fireflybridge_entry/_submission.py
+++ b/packages/entry/src/fireflybridge_entry/_submission.py
@@ -60,7 +60,7 @@
         self._leader: Leader = None
         self._changed = Notifier()
         self._pools: dict[str, ConnectionPool] = {}
-        self._exchange_scopes: set[anyio.CancelScope] = set()
+        self._exchanges: dict[anyio.CancelScope, RemoteLeader] = {}
 
     def set_leader(self, leader: Leader) -> None:
         """Submit to this leader from now on, and cancel exchanges with the previous one.
@@ -70,14 +70,27 @@
         have to wait to find them.
         """
         if leader == self._leader:
+            if isinstance(leader, RemoteLeader):
+                self.renew_leader(leader)
             return
         self._leader = leader
         timeout_s = 0.0 if leader is None else HAND_OVER_ANSWER_TIMEOUT_S
         deadline_s = anyio.current_time() + timeout_s
-        for scope in self._exchange_scopes:
+        for scope in self._exchanges:
             scope.deadline = min(scope.deadline, deadline_s)
         self._changed.notify()
 
+    def renew_leader(self, leader: RemoteLeader) -> None:
+        """Note newer terms of the current leader; do nothing if ``leader`` is another one.
+
+        Should the leader be lost, the jobs sent to it name these terms.
+        """
+        if leader != self._leader:
+            return
+        self._leader = leader
+        renewed = [scope for scope, receiver in self._exchanges.items() if receiver == leader]
+        self._exchanges.update(dict.fromkeys(renewed, leader))
+
     @property
     def has_leader(self) -> bool:
         """Return whether jobs can be submitted now."""
@@ -134,7 +147,7 @@
         pool = self._get_pool(leader.address)
         timeout_s = max(deadline_s - time.monotonic(), 0) + ANSWER_MARGIN_S
         with anyio.CancelScope() as scope:
-            self._exchange_scopes.add(scope)
+            self._exchanges[scope] = leader
             try:
                 response = await pool.exchange(encode_submission(submission), timeout_s)
                 return decode_answer(response)
@@ -145,7 +158,7 @@
                 # A leader of another version may have started the job nevertheless.
                 pass
             finally:
-                self._exchange_scopes.discard(scope)
+                leader = self._exchanges.pop(scope)
         return Moved(EarlierRuns(domains=leader.domains).merge(submission.earlier))
 
     def _get_pool(self, address: str) -> ConnectionPool:
--- a/packages/host/src/fireflybridge_host/_election.py
+++ b/packages/host/src/fireflybridge_host/_election.py
@@ -220,8 +220,10 @@
 
     def _make_remote_leader(self, holder: Holder) -> RemoteLeader:
         led = {term.domain: term.fence for term in self._leadership.find_terms_held_by(holder)}
-        # A single leader may hold a newer term than this host has heard of.
-        others = dict.fromkeys(self._domains, 0) if self._needs_single_leader else {}
+        # A single leader may hold a newer term than this host has heard of, and as long as the
+        # directory is unread there may be a single one.
+        single = self._scheduler.upstream_count <= self._joined_upstreams
+        others = dict.fromkeys(self._domains, 0) if single else {}
         return RemoteLeader(holder.address, holder.incarnation, {**others, **led})
 
     async def _replace_leader(self, lost: Term) -> None:
@@ -270,5 +272,7 @@
             own_term = self._leadership.terms.get(self._domain)
             if own_term is not None and own_term.holder == self._holder:
                 self._submitter.set_leader(LocalLeader())
+            elif own_term is not None:
+                self._submitter.renew_leader(self._make_remote_leader(own_term.holder))
             self._scheduler.lead({term.domain: term.fence for term in led})
             await self._leadership.changed.wait()
