Let hosts that have all started anew find each other without the log

Cause: a host learns of its peers only from replies of a leader that it follows, and after a restart of all hosts the log names earlier lives. A host that claims now asks the hosts of all known leaders, in whichever life, for its peers; it asks every peer for its term before it leads, and a provisional leader goes on asking, so that the lower token steps down.

--- a/features/site.feature
+++ b/features/site.feature
@@ -56,6 +56,13 @@
     Then no task ran twice at the same time after both have answered
     And one of them answers 200 "succeeded"
 
+  Scenario: Hosts that have all started anew find each other while the log ignores appends
+    # Guards against a second leader in a zone, which refuses its callers as upstreams obey the other.
+    Given hosts on a site with 2 hosts in each zone
+    When all hosts are killed and start again while the log ignores appends
+    Then jobs submitted to every host are answered 200 "succeeded" within 10 s
+    And no two hosts of a zone follow different leaders
+
   Scenario: One host leads all zones again after leadership was split
     Given hosts on a site with 2 hosts in each zone
     When the leader is paused until another host leads
--- a/features/steps/leader_election.py
+++ b/features/steps/leader_election.py
@@ -32,6 +32,9 @@
         await self.log.append(("z3",), OTHER, len(self.log.terms))
         return LeaderLoss("timed out")
 
+    async def find_peers(self, address: str) -> None:
+        """Find no peers."""
+
     async def probe(self, holder: Holder) -> bool:
         """Record a probe, which gets no reply."""
         self.probed.append(holder)
--- a/features/steps/site.py
+++ b/features/steps/site.py
@@ -301,6 +301,44 @@
         deployment.start_host(name)
 
 
+@when("all hosts are killed and start again while the log ignores appends")
+def _(context: Context) -> None:
+    deployment = context.deployment
+    deployment.control("store", {"ignores_appends": True})
+    for host in deployment.hosts.values():
+        host.kill()
+    for name in list(deployment.hosts):
+        deployment.start_host(name)
+
+
+@then('jobs submitted to every host are answered {status:d} "{state}" within {limit_s:d} s')
+def _(context: Context, status: int, state: str, limit_s: int) -> None:
+    for host in context.deployment.hosts:
+        wait_until(
+            lambda host=host: context.deployment.submit(host, 2).state == state,
+            limit_s,
+            f"a job at {host}",
+        )
+
+
+@then("no two hosts of a zone follow different leaders")
+def _(context: Context) -> None:
+    deployment = context.deployment
+    leaders = {host: find_followed_leader(deployment, host) for host in deployment.hosts}
+    by_zone = {(deployment.find_zone(host), leader) for host, leader in leaders.items()}
+    assert len(by_zone) == deployment.zones, leaders
+
+
+def find_followed_leader(deployment: SiteDeployment, host: str) -> str:
+    """Return the leader that a host leads as, or follows, by its newest log line on that."""
+    known = [
+        (event["timestamp"], event.get("leader", host))
+        for event_id in (7401, 7405)
+        for event in deployment.read_events(host, event_id)
+    ]
+    return max(known)[1]
+
+
 @when("both hosts of another zone lead it provisionally")
 def _(context: Context) -> None:
     deployment = context.deployment
--- a/packages/entry/src/fireflybridge_entry/_leader_monitor.py
+++ b/packages/entry/src/fireflybridge_entry/_leader_monitor.py
@@ -1,6 +1,8 @@
 """Failure detection between hosts: heartbeats to a leader over a dedicated connection."""
 
+import contextlib
 import time
+from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
 import anyio
@@ -35,6 +37,7 @@
 
     def __init__(self, leadership: Leadership, host: Peer) -> None:
         self.peers: tuple[Peer, ...] = ()
+        """The other known hosts of this host's failure domain."""
         self._leadership = leadership
         self._host = host
         self._heartbeat = encode_heartbeat(host)
@@ -57,8 +60,7 @@
                 with clock.count(HEARTBEAT_TIMEOUT_S):
                     result = await self._exchange(connection, term.holder)
                 match result:
-                    case HeartbeatReply(peers=peers):
-                        self.peers = peers
+                    case HeartbeatReply():
                         last_reply_s = clock.now_s
                         refusals = 0
                         with clock.count(HEARTBEAT_INTERVAL_S):
@@ -74,6 +76,21 @@
         finally:
             await connection.close()
 
+    async def find_peers(self, address: str) -> None:
+        """Keep asking the host at an address, in any incarnation, for more peers until cancelled.
+
+        Hosts that have all started anew find each other at the host of an earlier leader.
+        """
+        connection = Connection(address)
+        try:
+            while True:
+                with contextlib.suppress(ExchangeError, CodecError):
+                    reply = await self._request(connection)
+                    self._learn(reply, keep=self.peers)
+                await anyio.sleep(HEARTBEAT_INTERVAL_S)
+        finally:
+            await connection.close()
+
     async def probe(self, holder: Holder) -> bool:
         """Return whether the given incarnation of a host replies to one heartbeat."""
         connection = Connection(holder.address)
@@ -86,17 +103,30 @@
         self, connection: Connection, holder: Holder
     ) -> "HeartbeatReply | _FailedHeartbeat":
         try:
-            response = await connection.exchange(self._heartbeat, HEARTBEAT_TIMEOUT_S)
-            reply = decode_heartbeat_reply(response)
+            reply = await self._request(connection)
         except ExchangeError as error:
             return _FailedHeartbeat(str(error), error.refused)
         except CodecError as error:
             return _FailedHeartbeat(str(error), refused=False)
+        self._learn(reply)
         if reply.sender.holder != holder:
             return _FailedHeartbeat("the host has restarted", refused=True)
-        self._leadership.add_terms(reply.terms)
         return reply
 
+    async def _request(self, connection: Connection) -> HeartbeatReply:
+        response = await connection.exchange(self._heartbeat, HEARTBEAT_TIMEOUT_S)
+        return decode_heartbeat_reply(response)
+
+    def _learn(self, reply: HeartbeatReply, keep: Iterable[Peer] = ()) -> None:
+        """Note the terms and the peers of a reply; its sender may be a peer itself."""
+        self._leadership.add_terms(reply.terms)
+        found = {peer.holder.host: peer for peer in (*keep, *reply.peers, reply.sender)}
+        self.peers = tuple(
+            peer
+            for host, peer in found.items()
+            if peer.failure_domain == self._host.failure_domain and host != self._host.holder.host
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class _FailedHeartbeat:
--- a/packages/host/src/fireflybridge_host/_election.py
+++ b/packages/host/src/fireflybridge_host/_election.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from collections.abc import Iterable
 
 import anyio
 
@@ -136,7 +137,9 @@
         if self._draining:
             await self._leadership.changed.wait(RECHECK_INTERVAL_S)
         elif term.provisional:
-            if await self._claim((self._domain,)) is not ClaimResult.WON:
+            if await self._claim_own_domain() is not ClaimResult.WON:
+                # Another host may lead provisionally as well; a reply from it carries its term.
+                await self._select_replying(self._monitor.peers)
                 await self._leadership.changed.wait(RECHECK_INTERVAL_S / 4)
         elif not self._scheduler.upstream_count:
             await self._leadership.changed.wait(RECHECK_INTERVAL_S)
@@ -230,7 +233,7 @@
         """Claim the failure domain until it has another leader or the lost one replies again."""
         while self._leadership.terms.get(self._domain) == lost:
             if not self._draining:
-                result = await self._claim((self._domain,))
+                result = await self._claim_own_domain()
                 if result is ClaimResult.CONFLICT:
                     # Usually due to a claim of another failure domain, which this host has read now.
                     continue
@@ -242,25 +245,44 @@
                 return
             await self._leadership.changed.wait(CLAIM_JITTER_S)
 
+    async def _claim_own_domain(self) -> ClaimResult:
+        """Claim this host's failure domain, and ask the known leaders for its hosts meanwhile."""
+        addresses = {term.holder.address for term in self._leadership.terms.values()}
+        async with anyio.create_task_group() as group:
+            for address in addresses:
+                group.start_soon(self._monitor.find_peers, address)
+            result = await self._claim((self._domain,))
+            group.cancel_scope.cancel()
+        return result
+
     async def _lead_provisionally(self, lost: Term) -> None:
-        """Lead without a record in the log unless a stronger host of the failure domain replies.
+        """Lead without a record in the log unless another host does, or a stronger one replies.
 
         A failure domain that is cut off from the platform keeps serving with its own upstreams.
         """
-        others = [peer for peer in self._monitor.peers if peer.holder.host != self._holder.host]
-        stronger_peers = sorted(
-            (peer for peer in others if self._takes_precedence(peer)),
-            key=lambda peer: (-peer.strength, peer.holder.host),
-        )
-        for peer in stronger_peers:
-            if await self._monitor.probe(peer.holder):
-                # Its reply carries its term once it leads.
-                return
+        others = [peer for peer in self._monitor.peers if peer.holder != lost.holder]
+        replying = await self._select_replying(others)
+        if any(self._takes_precedence(peer) for peer in replying):
+            # Its reply carries its term once it leads.
+            return
         term = begin_provisional_term(lost, self._holder)
-        if term is not None:
+        # The replies may have carried the term of a weaker host that has begun to lead.
+        if term is not None and self._leadership.terms.get(self._domain) == lost:
             self._event_logger.record_provisional(term, len(others) + 1)
             self._leadership.add_terms((term,))
 
+    async def _select_replying(self, peers: Iterable[Peer]) -> list[Peer]:
+        replying: list[Peer] = []
+
+        async def probe(peer: Peer) -> None:
+            if await self._monitor.probe(peer.holder):
+                replying.append(peer)
+
+        async with anyio.create_task_group() as group:
+            for peer in peers:
+                group.start_soon(probe, peer)
+        return replying
+
     def _takes_precedence(self, peer: Peer) -> bool:
         return (-peer.strength, peer.holder.host) < (-self._strength, self._holder.host)
 
