--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -208,3 +208,51 @@
     Given a host that begins to lead an upstream with a run of an earlier leader
     When it has asked the upstream for its runs several times
     Then no hold extended the lease
+
+  @known_red
+  Scenario: A host whose fencing token was never accepted doesn't go on sending commands
+    # Guards against the weaker one of two provisional leaders, which calls upstreams 20 times a second each.
+    Given a leader of 2 in-memory upstreams with room for two tasks each
+    When another leader has used a higher token on them before
+    Then it soon stops sending them commands under its own
+
+  @known_red
+  Scenario: A host whose fencing token is refused takes no more work
+    # Guards against a replaced leader that stays ready and starts each task again every 20 ms (incident inc1, 74.4 s).
+    Given a leader of 2 in-memory upstreams with room for two tasks each
+    When another leader uses a higher token on them before a job is submitted
+    Then it soon stops sending them commands under its own
+    And it has no upstream that can take work
+
+  @known_red
+  Scenario: A waiting job learns of earlier runs from its second submission
+    # Guards against a start beside an earlier run that only the second of two entry hosts knows of.
+    Given a leader of 1 in-memory upstreams with room for two tasks each
+    When a waiting job is submitted again with an earlier run on an upstream that the host lacks
+    Then the job is not started
+
+  @known_red
+  Scenario: A new leader doesn't start a job beside a run that is not listed yet
+    # Guards against two runs where callers submit a job to both of two provisional leaders (incident inc1).
+    Given a leader of 2 in-memory upstreams with room for two tasks each
+    When a job whose run one of them has not listed yet is submitted to it for the first time
+    Then the job is not started
+
+  @known_red
+  Scenario: A new leader doesn't extend the lease of a run that it couldn't stop
+    # Guards against a run that outlives the lease known to the old leader, which restarts its task.
+    Given a leader of 1 in-memory upstreams with room for two tasks each
+    When its stop of an earlier leader's run gets lost
+    Then it doesn't extend that run's lease
+
+  @known_red
+  Scenario: A lost leader's job may run in each failure domain that the leader had gained
+    # Guards against a second run of a task that runs in a failure domain unknown to the entry host.
+    When its leader gains a failure domain, gets a job and is lost
+    Then the job's earlier runs are looked for in both failure domains of the lost leader
+
+  @known_red
+  Scenario: A replaced leader doesn't keep its callers' jobs while its claim is unanswered
+    # Guards against 0.6 s of jobs that are refused or given up (incident inc1, 32.8 and 73.4 s).
+    When it hears of a newer term while its own append gets no answer
+    Then it no longer submits its callers' jobs to itself
--- a/features/site.feature
+++ b/features/site.feature
@@ -56,6 +56,21 @@
     Then no task ran twice at the same time after both have answered
     And one of them answers 200 "succeeded"
 
+  @known_red
+  Scenario: A zone whose host starts again and again while the log ignores appends keeps serving
+    # Guards against a later life of a host whose fencing token is lower than that of an earlier one.
+    Given hosts on a site
+    When the log ignores appends
+    Then the leader answers a job within 5 s each of 4 times that it is killed and starts again
+
+  @known_red
+  Scenario: A host whose fencing token the upstreams refuse isn't ready
+    # Guards against callers who are sent to the weaker one of two provisional leaders, which serves nothing.
+    Given hosts on a site with 2 hosts in each zone
+    When all hosts are killed and start again while the log ignores appends
+    And both hosts of each zone lead it provisionally
+    Then within 5 s each host answers a job or is not ready
+
   Scenario: One host leads all zones again after leadership was split
     Given hosts on a site with 2 hosts in each zone
     When the leader is paused until another host leads
--- a/features/steps/earlier_runs.py
+++ b/features/steps/earlier_runs.py
@@ -38,6 +38,8 @@
 SINGLE_TASK_JOB = make_job("b", 1)
 FENCES = (1000, 2000, 3000)
 BEFORE_NEXT_TERM_S = 0.3  # shorter than the time after which unknown runs have ended
+SHORTEST_LIST_DELAY_S = 0.1
+LOST_STOP_WAIT_S = 1.2
 
 
 @asynccontextmanager
@@ -57,7 +59,9 @@
         group.cancel_scope.cancel()
 
 
-async def submit(context: Context, scheduler: Scheduler, job: Job, earlier: EarlierRuns) -> None:
+async def submit(
+    context: Context, scheduler: Scheduler, job: Job, earlier: EarlierRuns | None
+) -> None:
     context.answer = await scheduler.submit(job, 0.0, earlier)
 
 
@@ -324,3 +328,103 @@
 def check_ejected(context: Context) -> None:
     assert list_ejections(context), context.events
     assert context.answer == Succeeded(), context.answer
+
+
+class SlowListingUpstream(EndlessUpstream):
+    """An upstream that lists its runs only once a test allows it."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.may_list = anyio.Event()
+
+    async def hold(self, command: Hold, timeout_s: float) -> RunReport:
+        """Return the lists of runs once that is allowed."""
+        await self.may_list.wait()
+        return await super().hold(command, timeout_s)
+
+
+@when("a waiting job is submitted again with an earlier run on an upstream that the host lacks")
+def submit_again_with_earlier_runs(context: Context) -> None:
+    anyio.run(join_waiting_job, context)
+
+
+async def join_waiting_job(context: Context) -> None:
+    """Submit a job without earlier runs, then with one, before there is room for it."""
+    connector = EndlessConnector()
+    upstream = connector.upstreams["u0"] = SlowListingUpstream()
+    earlier = EarlierRuns({"u9": FENCES[1]})
+    async with run_scheduler(context, FENCES[0], connector) as scheduler:
+        async with anyio.create_task_group() as group:
+            group.start_soon(submit, context, scheduler, SINGLE_TASK_JOB, None)
+            await wait_until(lambda: scheduler.job_count)
+            group.start_soon(submit, context, scheduler, SINGLE_TASK_JOB, earlier)
+            await anyio.sleep(0)
+            upstream.may_list.set()
+            await anyio.sleep(BEFORE_NEXT_TERM_S)
+            context.early_starts = count_starts(connector)
+            group.cancel_scope.cancel()
+
+
+@when("a job whose run one of them has not listed yet is submitted to it for the first time")
+def submit_before_list(context: Context) -> None:
+    anyio.run(submit_beside_unlisted_run, context)
+
+
+async def submit_beside_unlisted_run(context: Context) -> None:
+    """Submit a job that runs on an upstream whose first list comes late."""
+    connector = EndlessConnector()
+    upstream = connector.upstreams["u0"] = SlowListingUpstream()
+    upstream.running.append(RunningRun(TaskId(SINGLE_TASK_JOB.id, 0, 0, 0), 1, 50))
+    async with run_scheduler(context, FENCES[1], connector) as scheduler:
+        await wait_until(lambda: list_synced(scheduler))
+        async with anyio.create_task_group() as group:
+            group.start_soon(submit, context, scheduler, SINGLE_TASK_JOB, None)
+            await anyio.sleep(SHORTEST_LIST_DELAY_S)
+            context.early_starts = count_starts(connector)
+            group.cancel_scope.cancel()
+
+
+@then("the job is not started")
+def check_not_started(context: Context) -> None:
+    assert context.early_starts == 0, context.early_starts
+
+
+class UnstoppableUpstream(EndlessUpstream):
+    """An upstream that receives no stop, and records the holds that extend the lease of its run."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.extensions = 0
+        self.lost_stops = 0
+
+    async def stop(self, command: Stop, timeout_s: float) -> Accepted:
+        """Lose the call."""
+        self.lost_stops += 1
+        raise ExchangeError(ExchangeStep.RECEIVE, "u0", "timed out")
+
+    async def hold(self, command: Hold, timeout_s: float) -> RunReport:
+        """Record an extension of the lease."""
+        if self.running and command.lease_until_ms is not None:
+            self.extensions += 1
+        return await super().hold(command, timeout_s)
+
+
+@when("its stop of an earlier leader's run gets lost")
+def lose_stop(context: Context) -> None:
+    anyio.run(lead_unstoppable_run, context)
+
+
+async def lead_unstoppable_run(context: Context) -> None:
+    """Lead an upstream with a run whose job isn't submitted again."""
+    connector = EndlessConnector()
+    upstream = connector.upstreams["u0"] = UnstoppableUpstream()
+    upstream.running.append(RunningRun(TaskId(SINGLE_TASK_JOB.id, 0, 0, 0), 1, 50))
+    async with run_scheduler(context, FENCES[1], connector):
+        # Longer than the wait before the stop and the back-off after it.
+        await anyio.sleep(LOST_STOP_WAIT_S)
+    context.upstream = upstream
+
+
+@then("it doesn't extend that run's lease")
+def check_lease_not_extended(context: Context) -> None:
+    assert context.upstream.extensions == 0, context.upstream.extensions
--- a/features/steps/leader_election.py
+++ b/features/steps/leader_election.py
@@ -7,16 +7,23 @@
 from behave import given, then, when
 from behave.runner import Context
 from support.terms import HangingPollLog
+from support.upstreams import make_job
 
-from fireflybridge_entry import LeaderLoss
+from fireflybridge_entry import JobSubmitter, LeaderLoss, LocalLeader
 from fireflybridge_host._election import LeaderElection
 from fireflybridge_host._event_logger import EventLogger
-from fireflybridge_leadership import Holder, Leadership, Term
+from fireflybridge_http import Request, Response
+from fireflybridge_jobs import Answer, EarlierRuns, Job, Succeeded
+from fireflybridge_leadership import AppendResult, Holder, Leadership, Term, compute_fence
 
 OWN = Holder("h2", "1", "127.0.0.1:2")
 LOST = Holder("h1", "1", "127.0.0.1:1")
 OTHER = Holder("h3", "1", "127.0.0.1:3")
 TIMEOUT_S = 10.0
+GAINED_OFFSET = 3
+# An entry host submits a moved job again after this time, and a host that leads nothing gives it up
+# after twice as long.
+MOVED_JOB_WAIT_S = 0.05
 
 
 @dataclass
@@ -89,3 +96,164 @@
 def check_lead(context: Context) -> None:
     assert context.leads
     assert not context.probed, context.probed
+
+
+class GainingLeaderMonitor(FailingLeaderMonitor):
+    """A monitor whose leader gains a failure domain, and is lost once a job was sent to it."""
+
+    def __init__(self, log: HangingPollLog, leadership: Leadership, sent: anyio.Event) -> None:
+        super().__init__(log)
+        self._leadership = leadership
+        self._sent = sent
+
+    async def watch(self, term: Term, duration_s: float | None = None) -> LeaderLoss:
+        """Add a term of the leader, wait for a job, and report the loss."""
+        self._leadership.add_terms((Term("z1", term.holder, compute_fence(GAINED_OFFSET)),))
+        await self._sent.wait()
+        return LeaderLoss("timed out")
+
+
+class SilentPool:
+    """Connections to a leader that receives a job and never answers."""
+
+    def __init__(self) -> None:
+        self.sent = anyio.Event()
+
+    async def exchange(self, request: Request, timeout_s: float) -> Response:
+        """Never return."""
+        self.sent.set()
+        await anyio.sleep_forever()
+        raise AssertionError
+
+
+class RecordingScheduler:
+    """A scheduler that records what it is told of a job's earlier runs."""
+
+    upstream_count = 0
+
+    def __init__(self) -> None:
+        self.earlier: EarlierRuns | None = None
+
+    async def submit(self, job: Job, age_s: float, earlier: EarlierRuns | None) -> Answer:
+        """Record the earlier runs."""
+        self.earlier = earlier
+        return Succeeded()
+
+    def lead(self, fences: object) -> None:
+        """Do nothing."""
+
+
+def make_election(
+    leadership: Leadership, monitor: object, submitter: object, scheduler: object
+) -> LeaderElection:
+    return LeaderElection(
+        SimpleNamespace(
+            failure_domain="z2",
+            failure_domains=("z1", "z2", "z3"),
+            strength=1.0,
+            joined_upstreams=3,
+        ),
+        OWN,
+        leadership,
+        monitor,
+        submitter,
+        scheduler,
+        SimpleNamespace(set_leading=ignore),
+        SimpleNamespace(find_strongest=ignore),
+        EventLogger(),
+    )
+
+
+@when("its leader gains a failure domain, gets a job and is lost")
+def lose_grown_leader(context: Context) -> None:
+    anyio.run(follow_growing_leader, context)
+
+
+async def follow_growing_leader(context: Context) -> None:
+    """Follow a leader of one failure domain that gains another, and replace it."""
+    log = HangingPollLog()
+    await log.append(("z2",), LOST, 0)
+    leadership = Leadership(log, ignore)
+    scheduler = RecordingScheduler()
+    submitter = JobSubmitter(OWN.host, scheduler)
+    pool = SilentPool()
+    submitter._pools[LOST.address] = pool
+    monitor = GainingLeaderMonitor(log, leadership, pool.sent)
+    election = make_election(leadership, monitor, submitter, scheduler)
+    async with anyio.create_task_group() as group:
+        group.start_soon(election.apply_terms)
+        group.start_soon(election.run)
+        group.start_soon(leadership.follow)
+        with anyio.move_on_after(TIMEOUT_S):
+            await submitter.submit(make_job("a", 1))
+        group.cancel_scope.cancel()
+    context.earlier = scheduler.earlier
+
+
+@then("the job's earlier runs are looked for in both failure domains of the lost leader")
+def check_domains(context: Context) -> None:
+    expected = {"z1": compute_fence(GAINED_OFFSET), "z2": compute_fence(0)}
+    assert context.earlier is not None
+    assert dict(context.earlier.domains) == expected, context.earlier
+
+
+class SilentAppendLog(HangingPollLog):
+    """An in-memory log of terms whose appends get no response."""
+
+    async def append(self, domains: tuple[str, ...], holder: Holder, end: int) -> AppendResult:
+        """Never return."""
+        await anyio.sleep_forever()
+        raise AssertionError
+
+
+@when("it hears of a newer term while its own append gets no answer")
+def lose_provisional_term(context: Context) -> None:
+    anyio.run(hear_of_newer_term, context)
+
+
+async def hear_of_newer_term(context: Context) -> None:
+    """Lead provisionally, and learn during a claim that another host leads."""
+    log = SilentAppendLog()
+    log.terms.append(Term("z2", LOST, compute_fence(0)))
+    leadership = Leadership(log, ignore)
+    leaders: list[object] = []
+    scheduler = SimpleNamespace(lead=ignore, upstream_count=3)
+    election = make_election(
+        leadership,
+        SilentLeaderMonitor(),
+        SimpleNamespace(set_leader=leaders.append),
+        scheduler,
+    )
+    async with anyio.create_task_group() as group:
+        group.start_soon(election.apply_terms)
+        group.start_soon(election.run)
+        group.start_soon(leadership.follow)
+        with anyio.fail_after(TIMEOUT_S):
+            while LocalLeader() not in leaders:
+                await anyio.sleep(0.01)
+        await anyio.sleep(0.1)
+        leadership.add_terms((Term("z2", OTHER, compute_fence(1)),))
+        await anyio.sleep(MOVED_JOB_WAIT_S)
+        context.leader = leaders[-1]
+        group.cancel_scope.cancel()
+
+
+class SilentLeaderMonitor:
+    """A monitor whose first leader is lost; the next one stays."""
+
+    peers: tuple[object, ...] = ()
+
+    async def watch(self, term: Term, duration_s: float | None = None) -> LeaderLoss:
+        """Report the loss of the first leader."""
+        if term.holder != LOST:
+            await anyio.sleep_forever()
+        return LeaderLoss("timed out")
+
+    async def probe(self, holder: Holder) -> bool:
+        """Return that the host doesn't reply."""
+        return False
+
+
+@then("it no longer submits its callers' jobs to itself")
+def check_not_local(context: Context) -> None:
+    assert context.leader != LocalLeader(), context.leader
--- a/features/steps/site.py
+++ b/features/steps/site.py
@@ -296,6 +296,27 @@
         deployment.start_host(name)
 
 
+@when("the log ignores appends")
+def _(context: Context) -> None:
+    context.deployment.control("store", {"ignores_appends": True})
+
+
+@then(
+    "the leader answers a job within {limit_s:d} s each of {count:d} times"
+    " that it is killed and starts again"
+)
+def _(context: Context, limit_s: int, count: int) -> None:
+    deployment, leader = context.deployment, context.leader
+    for life in range(count):
+        deployment.hosts[leader].kill()
+        deployment.start_host(leader)
+        try:
+            wait_until(lambda: deployment.submit(leader, 2).state == "succeeded", limit_s)
+        except AssertionError as error:
+            terms = deployment.read_events(leader, 7405)
+            raise AssertionError(f"start {life + 1}: {error}: {terms}") from error
+
+
 @when("both hosts of zone z1 lead it provisionally")
 def _(context: Context) -> None:
     deployment = context.deployment
@@ -304,6 +325,27 @@
         wait_until(lambda host=host: deployment.read_events(host, 7405), detail=f"7405 of {host}")
 
 
+@when("both hosts of each zone lead it provisionally")
+def _(context: Context) -> None:
+    for host in context.deployment.hosts:
+        wait_until(
+            lambda host=host: context.deployment.read_events(host, 7405), detail=f"7405 of {host}"
+        )
+
+
+@then("within {limit_s:d} s each host answers a job or is not ready")
+def _(context: Context, limit_s: int) -> None:
+    deployment = context.deployment
+    for host in deployment.hosts:
+        wait_until(
+            lambda host=host: (
+                not deployment.is_ready(host) or deployment.submit(host, 2).state == "succeeded"
+            ),
+            limit_s,
+            f"{host} answers a job or is not ready",
+        )
+
+
 @when("one job of {tasks:d} tasks is submitted to both at once")
 def _(context: Context, tasks: int) -> None:
     job = "00000000000000ab"
