--- a/features/steps/site.py
+++ b/features/steps/site.py
@@ -321,6 +321,27 @@
         )
 
 
+@when("the log ignores appends")
+def _(context: Context) -> None:
+    context.deployment.control("store", {"ignores_appends": True})
+
+
+@then(
+    "the leader answers a job within {limit_s:d} s each of {count:d} times"
+    " that it is killed and starts again"
+)
+def _(context: Context, limit_s: int, count: int) -> None:
+    deployment, leader = context.deployment, context.leader
+    for life in range(count):
+        deployment.hosts[leader].kill()
+        deployment.start_host(leader)
+        try:
+            wait_until(lambda: deployment.submit(leader, 2).state == "succeeded", limit_s)
+        except AssertionError as error:
+            terms = deployment.read_events(leader, 7405)
+            raise AssertionError(f"start {life + 1}: {error}: {terms}") from error
+
+
 @then("no two hosts of a zone follow different leaders")
 def _(context: Context) -> None:
     deployment = context.deployment
@@ -348,6 +369,19 @@
         wait_until(lambda host=host: deployment.read_events(host, 7405), detail=f"7405 of {host}")
 
 
+@then("within {limit_s:d} s each of them answers a job or is not ready")
+def _(context: Context, limit_s: int) -> None:
+    deployment = context.deployment
+    for host in context.hosts:
+        wait_until(
+            lambda host=host: (
+                not deployment.is_ready(host) or deployment.submit(host, 2).state == "succeeded"
+            ),
+            limit_s,
+            f"{host} answers a job or is not ready",
+        )
+
+
 @when("one job of {tasks:d} tasks is submitted to both at once")
 def _(context: Context, tasks: int) -> None:
     job = "00000000000000ab"
