--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -231,7 +231,6 @@
     Then it soon stops sending them commands under its own
     And it has no upstream that can take work
 
-  @known_red
   Scenario: A waiting job learns of earlier runs from its second submission
     # Guards against a start beside an earlier run that only the second of two entry hosts knows of.
     Given a leader of 1 in-memory upstreams with room for two tasks each
--- a/packages/execution/src/fireflybridge_execution/_active_job.py
+++ b/packages/execution/src/fireflybridge_execution/_active_job.py
@@ -30,10 +30,10 @@
         self.critical_path_ms = compute_critical_path_ms(job)
         """Estimated work of the longest chain of dependent tasks, before what was learned."""
         self.deadline_s = received_s + min(job.wait_ms, job.policy.timeout_ms) / 1000
-        self.earlier = earlier
+        self.earlier: EarlierRuns | None = None
         self.accepts_any_speed = False
         self.waiter_count = 0
-        self.may_have_run = earlier is not None
+        self.may_have_run = False
         self.waiting: deque[TaskId] = deque()
         self.runs: dict[TaskId, PlacedRun] = {}
         self.failed_runs = 0
@@ -48,6 +48,16 @@
         self._remaining = [step.count for step in job.steps]
         self._released_steps: set[int] = set()
         self._release_steps()
+        if earlier is not None:
+            self.learn_earlier_runs(earlier)
+
+    def learn_earlier_runs(self, earlier: EarlierRuns) -> None:
+        """Note what a submission says of runs that other leaders have started."""
+        self.submitted_s = time.monotonic()
+        self.earlier = earlier.merge(self.earlier)
+        self.may_have_run = True
+        for task in earlier.done:
+            self.finish(task)
 
     def get_step(self, task: TaskId) -> Step:
         """Return the step that a task belongs to."""
--- a/packages/execution/src/fireflybridge_execution/_scheduler.py
+++ b/packages/execution/src/fireflybridge_execution/_scheduler.py
@@ -111,7 +111,11 @@
         job is cancelled, its runs are stopped. A second submission of the same job shares the
         answer of the first.
         """
-        active = self._jobs.get(job.id) or self._receive(job, age_s, earlier)
+        active = self._jobs.get(job.id)
+        if active is None:
+            active = self._receive(job, age_s, earlier)
+        elif earlier is not None:
+            active.learn_earlier_runs(earlier)
         active.waiter_count += 1
         try:
             return await self._wait_for_answer(active)
@@ -136,7 +140,7 @@
         )
         self._jobs[job.id] = active
         if earlier is not None:
-            for task in earlier.done | self._recent_ends.list_done(job.id):
+            for task in self._recent_ends.list_done(job.id):
                 active.finish(task)
         for session in self._sessions:
             session.adopt_orphans(job.id)
