--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -243,7 +243,6 @@
     When it gets a newer token while a task runs, which ends then
     Then the job is answered as succeeded after one start
 
-  @known_red
   Scenario: A new leader doesn't start a job beside a run that is not listed yet
     # Guards against two runs where callers submit a job to both of two provisional leaders (incident inc1).
     Given a leader of 2 in-memory upstreams with room for two tasks each
--- a/packages/execution/src/fireflybridge_execution/_scheduler.py
+++ b/packages/execution/src/fireflybridge_execution/_scheduler.py
@@ -217,7 +217,7 @@
 
     def _place(self) -> None:
         """Place waiting tasks on the free capacity; called whenever that may have changed."""
-        if not len(self._queue):
+        if not len(self._queue) or not self._sessions.has_asked_upstreams:
             return
         now_s = time.monotonic()
         waiting = self._queue.list_first()
--- a/packages/execution/src/fireflybridge_execution/_session.py
+++ b/packages/execution/src/fireflybridge_execution/_session.py
@@ -64,6 +64,8 @@
         self.info = info
         self._listener = listener
         self.synced = False
+        self.asked = False
+        """Whether the upstream was asked for its runs and has replied, or failed to reply."""
         self.superseded = False
         """Whether the upstream has refused the fencing token, since it has seen a higher one."""
         self.health = Health()
@@ -183,9 +185,11 @@
         try:
             reply = await connection.hold(hold, wait_ms / 1000 + HOLD_TIMEOUT_MARGIN_S)
         except ExchangeError as error:
+            self.asked = True
             self._handle_hold_error(error)
             await anyio.sleep(RETRY_S)
             return
+        self.asked = True
         match reply:
             case RunReport():
                 self._acknowledgement_sent = acknowledged
--- a/packages/execution/src/fireflybridge_execution/_session_manager.py
+++ b/packages/execution/src/fireflybridge_execution/_session_manager.py
@@ -19,6 +19,7 @@
 # A leader that is cut off from the store keeps using upstreams whose entries have expired.
 REMOVED_UPSTREAM_WAIT_S = 15.0
 RESTART_DELAY_S = 0.5
+TERM_START_S = 1.0  # an upstream that registers later has no runs of an earlier leader
 
 
 class SessionManager:
@@ -38,6 +39,8 @@
         self._fences: Mapping[str, int] = {}
         self._upstreams: Mapping[str, UpstreamInfo] = {}
         self._sessions: dict[str, UpstreamSession] = {}
+        self._unasked: set[UpstreamSession] = set()
+        """Sessions opened at the start of a term, as far as their upstreams have not replied yet."""
         self._created_s = time.monotonic()
         self._led_since_s: dict[str, float] = {}
         self._read_s = 0.0
@@ -58,6 +61,15 @@
         """Return whether any upstream has listed its runs."""
         return any(session.synced for session in self)
 
+    @property
+    def has_asked_upstreams(self) -> bool:
+        """Return whether each upstream was asked for its runs since the start of a term.
+
+        Before that, a run of an earlier leader may not be known although its upstream would tell.
+        """
+        self._unasked = {session for session in self._unasked if not session.asked}
+        return not self._unasked
+
     def is_superseded(self, domain: str) -> bool:
         """Return whether an upstream of a led failure domain has refused this host's token."""
         return any(s.superseded and s.info.failure_domain == domain for s in self)
@@ -176,6 +188,8 @@
         fence = self._fences[info.failure_domain]
         session = UpstreamSession(info, fence, self._connector, self._listener, self.live_runs)
         self._sessions[info.id] = session
+        if time.monotonic() < self._led_since_s[info.failure_domain] + TERM_START_S:
+            self._unasked.add(session)
         self._listener.availability_changed(info.id)
         group.start_soon(self._serve, session)
 
@@ -192,6 +206,7 @@
 
     def _retire(self, session: UpstreamSession) -> None:
         del self._sessions[session.info.id]
+        self._unasked.discard(session)
         self._listener.availability_changed(session.info.id)
         session.close()
         if self._group is not None:
