Name the failure domains that a lost leader had handed over

A leader that handed a failure domain over and was lost then was named without it, though runs of the job may be alive there for the rest of their lease. Terms of exchanges under way are now merged, the higher token of each failure domain.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -188,6 +188,12 @@
     When that leader records "z1" under token 2000 and is lost
     Then the job is resubmitted with runs in "z1" under 2000
 
+  Scenario: A lost leader's job may still run in a failure domain that the leader has handed over
+    # Guards against a second run beside one whose lease lasts on under the leader before.
+    Given an entry host whose job is at a leader of "z1" under token 1000
+    When that leader hands it over for "z2" under token 2000 and is lost
+    Then the job is resubmitted with runs in "z1" under 1000 and in "z2" under 2000
+
   Scenario: A leader that hands over names the upstreams of a job's runs
     Given a leader with a job running on one of two upstreams
     When it stops leading
--- a/features/steps/job_submitter.py
+++ b/features/steps/job_submitter.py
@@ -45,14 +45,25 @@
 
 @when('that leader gains "{domain}" under token {fence:d} and is lost')
 @when('that leader records "{domain}" under token {fence:d} and is lost')
-def lose_leader(context: Context, domain: str, fence: int) -> None:
+def lose_grown_leader(context: Context, domain: str, fence: int) -> None:
+    lose_leader(context, {**context.domains, domain: fence})
+
+
+@when('that leader hands it over for "{domain}" under token {fence:d} and is lost')
+def lose_moved_leader(context: Context, domain: str, fence: int) -> None:
+    lose_leader(context, {domain: fence})
+
+
+def lose_leader(context: Context, domains: dict[str, int]) -> None:
+    """Submit a job to the leader, learn of its newer terms and lose it."""
+
     async def run() -> None:
         submitter = context.submitter
         submitter.set_leader(make_leader(context.domains))
         async with anyio.create_task_group() as group:
             group.start_soon(submitter.submit, make_job("a", 1))
             await anyio.sleep(SENDING_S)
-            submitter.set_leader(make_leader({**context.domains, domain: fence}))
+            submitter.renew_leader(make_leader(domains))
             await anyio.sleep(SENDING_S)
             submitter.set_leader(None)
             submitter.set_leader(LocalLeader())
--- a/packages/entry/src/fireflybridge_entry/_submission.py
+++ b/packages/entry/src/fireflybridge_entry/_submission.py
@@ -2,7 +2,7 @@
 
 import time
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import anyio
 
@@ -17,6 +17,7 @@
     NotRun,
     RefusalReason,
     TimedOut,
+    merge_fences,
 )
 from fireflybridge_leadership import Notifier
 from fireflybridge_placement import RETRY_AFTER_S, compute_critical_path_ms, compute_objective_ms
@@ -91,8 +92,11 @@
         if leader != self._leader:
             return
         self._leader = leader
-        renewed = [scope for scope, receiver in self._exchanges.items() if receiver == leader]
-        self._exchanges.update(dict.fromkeys(renewed, leader))
+        for scope, sent_to in self._exchanges.items():
+            if sent_to == leader:
+                # Runs may outlive a term that the leader no longer holds.
+                domains = merge_fences(sent_to.domains, leader.domains)
+                self._exchanges[scope] = replace(leader, domains=domains)
 
     @property
     def has_leader(self) -> bool:
--- a/packages/jobs/src/fireflybridge_jobs/__init__.py
+++ b/packages/jobs/src/fireflybridge_jobs/__init__.py
@@ -9,6 +9,7 @@
     RefusalReason,
     Succeeded,
     TimedOut,
+    merge_fences,
 )
 from fireflybridge_jobs._jobs import Job, RoutePolicy, Step, TaskId
 from fireflybridge_jobs._runs import EndedRun, RunningRun, RunOutcome, RunReport
@@ -34,4 +35,5 @@
     "TimedOut",
     "UpstreamInfo",
     "UpstreamState",
+    "merge_fences",
 ]
--- a/packages/jobs/src/fireflybridge_jobs/_answers.py
+++ b/packages/jobs/src/fireflybridge_jobs/_answers.py
@@ -64,13 +64,13 @@
         if other is None:
             return self
         return EarlierRuns(
-            _merge_fences(self.upstreams, other.upstreams),
-            _merge_fences(self.domains, other.domains),
+            merge_fences(self.upstreams, other.upstreams),
+            merge_fences(self.domains, other.domains),
             self.done | other.done,
         )
 
 
-def _merge_fences(first: Mapping[str, int], second: Mapping[str, int]) -> dict[str, int]:
+def merge_fences(first: Mapping[str, int], second: Mapping[str, int]) -> dict[str, int]:
     """Return the higher fencing token of each name."""
     names = first.keys() | second.keys()
     return {name: max(first.get(name, 0), second.get(name, 0)) for name in names}
