--- a/packages/entry/src/fireflybridge_entry/_submission.py
+++ b/packages/entry/src/fireflybridge_entry/_submission.py
@@ -37,7 +37,8 @@
 class RemoteLeader:
     """The leader is another host, which accepts jobs at ``address``.
 
-    It may run them in ``domains``; the value is the newest fencing token known of its term there.
+    It may run them in ``domains``; the value is the newest fencing token known of its term there, 0
+    if none is known.
     """
 
     address: str
--- a/packages/execution/src/fireflybridge_execution/_scheduler.py
+++ b/packages/execution/src/fireflybridge_execution/_scheduler.py
@@ -274,7 +274,7 @@
         if not active.may_have_run and not active.runs:
             return None
         running = EarlierRuns(
-            self._sessions.find_upstreams_running(active.job.id), done=active.list_done()
+            self._sessions.find_running_fences(active.job.id), done=active.list_done()
         )
         if active.earlier is None or self._has_resolved_earlier_runs(active, time.monotonic()):
             return running
--- a/packages/execution/src/fireflybridge_execution/_session_manager.py
+++ b/packages/execution/src/fireflybridge_execution/_session_manager.py
@@ -124,7 +124,7 @@
             > self._last_removal_s.get(domain, self._created_s) + REMOVED_UPSTREAM_WAIT_S
         )
 
-    def find_upstreams_running(self, job: str) -> dict[str, int]:
+    def find_running_fences(self, job: str) -> dict[str, int]:
         """Return the upstreams on which a run of a job may be alive, including those no longer led.
 
         The value is the highest fencing token under which this host has used the upstream.
--- a/packages/host/src/fireflybridge_host/_election.py
+++ b/packages/host/src/fireflybridge_host/_election.py
@@ -34,6 +34,7 @@
 STABLE_PERIOD_S = 1.5  # a hand-over to a flapping host would move the upstreams back and forth
 HAND_OVER_TIMEOUT_S = 0.5
 MIN_STRENGTH_RATIO = 2.0  # a smaller difference in strength isn't worth a hand-over
+PEER_SEARCH_S = 0.2  # a claim fails at once while the log can't be read
 RENEWAL_INTERVAL_S = 0.5  # of a refused provisional term; doubles each time
 LOST_LEADER_COOLDOWN_S = 10.0  # a host that was lost as leader may stay slow for seconds
 
@@ -276,7 +277,10 @@
         async with anyio.create_task_group() as group:
             for address in addresses:
                 group.start_soon(self._monitor.find_peers, address)
+            earliest_end_s = anyio.current_time() + PEER_SEARCH_S
             result = await self._claim((self._domain,))
+            if result is ClaimResult.UNREACHABLE:
+                await anyio.sleep_until(earliest_end_s)
             group.cancel_scope.cancel()
         return result
 
--- a/packages/leadership/src/fireflybridge_leadership/_terms.py
+++ b/packages/leadership/src/fireflybridge_leadership/_terms.py
@@ -44,8 +44,8 @@
     ``skipped_rounds`` raises its fencing token above those that as many hosts may have begun since
     the lost term.
 
-    Hosts of one failure domain may not know of each other, so the fencing token is derived from the
-    holder alone: upstreams obey at most one of two such hosts. The next term recorded in the log
+    Hosts of one failure domain may not know of each other, so the fencing token depends on the
+    lost term and the holder, and not on others: upstreams obey at most one of two such hosts. The next term recorded in the log
     gets a higher token. Return None if the lost term leaves no token below that one.
     """
     fence = lost.fence + skipped_rounds * PROVISIONAL_STEPS + 1 + _compute_step(holder)
