Refuse a job whose runs were all rejected at its time of refusal, not at its deadline

Such a job is now refused as not run once its time of refusal is over and it finds no other place. The added step of "A host whose fencing token is refused takes no more work" failed before.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -236,6 +236,7 @@
     When another leader uses a higher token on them before a job is submitted
     Then it soon stops sending them commands under its own
     And it has no upstream that can take work
+    And the job is refused as not run, long before its deadline
 
   Scenario: A waiting job learns of earlier runs from its second submission
     # Guards against a start beside an earlier run that only the second of two entry hosts knows of.
--- a/features/steps/superseded.py
+++ b/features/steps/superseded.py
@@ -16,7 +16,7 @@
     Scheduler,
     Start,
 )
-from fireflybridge_jobs import RunReport, UpstreamInfo
+from fireflybridge_jobs import NotRun, RunReport, UpstreamInfo
 
 LEASE_S = 1.0
 """How long the rules let a refused host go on with commands that were under way."""
@@ -83,12 +83,16 @@
         await anyio.sleep(0.1)
         for upstream in connector.upstreams.values():
             upstream.superseded = True
-        group.start_soon(scheduler.submit, make_job("a", 2), 0.0, None)
+        group.start_soon(submit, context, scheduler)
         await anyio.sleep(LEASE_S + OBSERVED_S)
         context.has_synced_upstream = scheduler.has_synced_upstream
         group.cancel_scope.cancel()
 
 
+async def submit(context: Context, scheduler: Scheduler) -> None:
+    context.answer = await scheduler.submit(make_job("a", 2), 0.0, None)
+
+
 @then("it soon stops sending them commands under its own")
 def check_silent(context: Context) -> None:
     calls = {
@@ -100,6 +104,12 @@
     assert max(calls.values()) <= MOST_CALLS, calls
 
 
+@then("the job is refused as not run, long before its deadline")
+def check_refused(context: Context) -> None:
+    assert hasattr(context, "answer"), "the job waits"
+    assert isinstance(context.answer, NotRun), context.answer
+
+
 @then("it has no upstream that can take work")
 def check_not_synced(context: Context) -> None:
     assert not context.has_synced_upstream
--- a/packages/execution/src/fireflybridge_execution/_active_job.py
+++ b/packages/execution/src/fireflybridge_execution/_active_job.py
@@ -73,6 +73,11 @@
         self.placed_or_answered.set()
         return number
 
+    @property
+    def was_rejected(self) -> bool:
+        """Return whether tasks were placed, and the upstreams have rejected every run."""
+        return self.first_placed_s is not None and not self.may_have_run and not self.runs
+
     def is_current_run(self, task: TaskId, upstream: str, number: int) -> bool:
         """Return whether this run is the current one of its task."""
         return self.runs.get(task) == PlacedRun(upstream, number)
--- a/packages/execution/src/fireflybridge_execution/_scheduler.py
+++ b/packages/execution/src/fireflybridge_execution/_scheduler.py
@@ -92,6 +92,7 @@
                 await anyio.sleep(PLACEMENT_RETRY_S)
                 self._abandon_late_jobs()
                 self._place()
+                self._refuse_unstarted_jobs()
 
     def lead(self, fences: Mapping[str, int]) -> None:
         """Set the failure domains that this host leads, each with its fencing token.
@@ -155,9 +156,8 @@
         return active
 
     async def _wait_for_answer(self, active: ActiveJob) -> Answer:
-        critical_path_ms = self._placer.predict_critical_path_ms(active)
-        refusal_s = compute_refusal_time(active.job, active.received_s, critical_path_ms)
         if not active.may_have_run:
+            refusal_s = self._compute_refusal_time(active)
             with anyio.move_on_after(max(refusal_s - time.monotonic(), 0)):
                 await active.placed_or_answered.wait()
             if not active.placed_or_answered.is_set():
@@ -172,6 +172,10 @@
             return self._refuse(active)
         return active.set_answer(TimedOut("deadline reached"))
 
+    def _compute_refusal_time(self, active: ActiveJob) -> float:
+        critical_path_ms = self._placer.predict_critical_path_ms(active)
+        return compute_refusal_time(active.job, active.received_s, critical_path_ms)
+
     def _refuse(self, active: ActiveJob) -> Answer:
         reason = (
             RefusalReason.NO_CAPACITY if self.has_synced_upstream else RefusalReason.NO_UPSTREAM
@@ -254,6 +258,14 @@
             elif self._cannot_resolve_earlier_runs(active, now_s):
                 self._abandon(active, "its earlier runs can't be ruled out in time")
 
+    def _refuse_unstarted_jobs(self) -> None:
+        """Refuse jobs whose placed runs were all rejected and that find no other place in time."""
+        now_s = time.monotonic()
+        for active in self._queue.list_first():
+            if active.was_rejected and now_s > self._compute_refusal_time(active):
+                self._refuse(active)
+                self._queue.remove(active)
+
     def _has_resolved_earlier_runs(self, active: ActiveJob, now_s: float) -> bool:
         """Return whether this host knows every run of the job that can still be alive."""
         if active.earlier is None or self._sessions.knows_earlier_runs(active.earlier):
