Log what was under way on an upstream when it crashed

The logs couldn't tell which tasks an upstream had started before it crashed: event 7105 with the ending lost comes with the end of the lease, only for jobs that aren't answered yet, and reads the same after a crash, a cut and a freeze. Event 7203 names the runs under way and the sign of the crash: a refused connection, another start of the upstream, or another upstream at its address. It is written once for each crash; runs that were lost in silence are named once the upstream replies with a new start. A draining upstream that ends has left as planned.

No decision depends on it yet.

--- a/packages/execution/src/fireflybridge_execution/__init__.py
+++ b/packages/execution/src/fireflybridge_execution/__init__.py
@@ -12,6 +12,7 @@
 )
 from fireflybridge_execution._directory import DirectorySource, DirectoryView, UpstreamDirectory
 from fireflybridge_execution._events import (
+    CrashSign,
     ExecutionEvent,
     JobEnded,
     JobReceived,
@@ -20,6 +21,7 @@
     RunNotCompleted,
     TasksPlaced,
     UnexpectedError,
+    UpstreamCrashed,
     UpstreamEjected,
     UpstreamSynced,
 )
@@ -29,6 +31,7 @@
     "Accepted",
     "CommandConnection",
     "CommandConnector",
+    "CrashSign",
     "DirectorySource",
     "DirectoryView",
     "ExecutionEvent",
@@ -45,6 +48,7 @@
     "Stop",
     "TasksPlaced",
     "UnexpectedError",
+    "UpstreamCrashed",
     "UpstreamDirectory",
     "UpstreamEjected",
     "UpstreamSynced",
--- a/packages/execution/src/fireflybridge_execution/_events.py
+++ b/packages/execution/src/fireflybridge_execution/_events.py
@@ -1,7 +1,9 @@
 """Events of the scheduler, for logs and metrics."""
 
 from dataclasses import dataclass
+from enum import StrEnum
 
+from fireflybridge_execution._run_registry import RunKey
 from fireflybridge_jobs import Answer, EarlierRuns, TaskId
 from fireflybridge_placement import RunProgress
 
@@ -92,6 +94,26 @@
     failures: int
 
 
+class CrashSign(StrEnum):
+    """How it shows that an upstream's process has ended without a drain."""
+
+    REFUSED = "refused"
+    """Nothing listens at its address."""
+    RESTARTED = "restarted"
+    """It reports another incarnation."""
+    REPLACED = "replaced"
+    """Another upstream replies at its address."""
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamCrashed:
+    """An upstream seems to have crashed while these runs were under way on it."""
+
+    upstream: str
+    sign: CrashSign
+    runs: tuple[RunKey, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class UnexpectedError:
     """A fault of the program has ended one action, such as a session or a placement."""
@@ -108,5 +130,6 @@
     | JobEnded
     | UpstreamSynced
     | UpstreamEjected
+    | UpstreamCrashed
     | UnexpectedError
 )
--- a/packages/execution/src/fireflybridge_execution/_run_registry.py
+++ b/packages/execution/src/fireflybridge_execution/_run_registry.py
@@ -100,6 +100,11 @@
         """Return the runs of earlier leaders."""
         return tuple(self._orphans.values())
 
+    def list_under_way(self) -> tuple[RunKey, ...]:
+        """Return the runs that the upstream may have started, of this host or an earlier leader."""
+        sent = (run.key for run in self._runs.values() if run.phase is not RunPhase.QUEUED)
+        return (*sent, *self._orphans)
+
     def add(self, run: Run) -> None:
         """Add a run and the resources that it uses."""
         self._runs[run.key] = run
--- a/packages/execution/src/fireflybridge_execution/_scheduler.py
+++ b/packages/execution/src/fireflybridge_execution/_scheduler.py
@@ -9,6 +9,7 @@
 from fireflybridge_execution._commands import CommandConnector, RejectionReason
 from fireflybridge_execution._directory import DirectoryView
 from fireflybridge_execution._events import (
+    CrashSign,
     ExecutionEvent,
     JobEnded,
     JobReceived,
@@ -16,13 +17,14 @@
     RunNotCompleted,
     TasksPlaced,
     UnexpectedError,
+    UpstreamCrashed,
     UpstreamEjected,
     UpstreamSynced,
 )
 from fireflybridge_execution._placer import Placer
 from fireflybridge_execution._queue import JobQueue
 from fireflybridge_execution._recent_ends import RecentEnds
-from fireflybridge_execution._run_registry import Run
+from fireflybridge_execution._run_registry import Run, RunKey
 from fireflybridge_execution._session_manager import SessionManager
 from fireflybridge_jobs import (
     Answer,
@@ -399,6 +401,10 @@
         fence = 0 if session is None else session.fence
         self._on_event(UpstreamSynced(upstream, fence, incarnation, running))
 
+    def upstream_crashed(self, upstream: str, sign: CrashSign, runs: tuple[RunKey, ...]) -> None:
+        """Report a presumed crash of an upstream."""
+        self._on_event(UpstreamCrashed(upstream, sign, runs))
+
     def upstream_ejected(self, upstream: str, reason: str, failures: int) -> None:
         """Report an ejected upstream."""
         self._on_event(UpstreamEjected(upstream, reason, failures))
--- a/packages/execution/src/fireflybridge_execution/_session.py
+++ b/packages/execution/src/fireflybridge_execution/_session.py
@@ -1,7 +1,7 @@
 """Session with one upstream: its runs, its lease and the connections for commands."""
 
 import time
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import replace
 
 import anyio
@@ -18,6 +18,7 @@
     Start,
     Stop,
 )
+from fireflybridge_execution._events import CrashSign
 from fireflybridge_execution._live_runs import LiveRuns
 from fireflybridge_execution._run_listener import RunListener
 from fireflybridge_execution._run_registry import OrphanedRun, Run, RunKey, RunPhase, RunRegistry
@@ -74,6 +75,9 @@
         self._acknowledgement_sent = 0
         self._lease_end_s = 0.0
         self._unresponsive = False
+        self._crash_reported = False
+        self._lost_in_silence: tuple[RunKey, ...] = ()
+        """Runs that a crash may have ended, which shows once the upstream replies again."""
         self._full_until_s = 0.0
         self._run_added = anyio.Event()
         self._queue_sender, self._queue_receiver = anyio.create_memory_object_stream[RunKey](
@@ -215,7 +219,9 @@
             self._unresponsive = False
             self._report_availability()
         if report.incarnation != self._incarnation:
-            self._begin_incarnation(report.incarnation)
+            self._begin_incarnation(report)
+        self._crash_reported = False
+        self._lost_in_silence = ()
         self._clock = RemoteClock(report.clock_ms, now_s)
         for ended in report.ended:
             self._handle_ended_run(ended, now_s)
@@ -241,11 +247,14 @@
             if run is not None and run.phase is RunPhase.RUNNING:
                 self._listener.run_progressed(self.info.id, run, found.percent)
 
-    def _begin_incarnation(self, incarnation: int) -> None:
+    def _begin_incarnation(self, report: RunReport) -> None:
         if self._incarnation:
+            running = {(run.task, run.number) for run in report.running}
+            ended = {(run.task, run.number) for run in report.ended}
+            self.report_crash(CrashSign.RESTARTED, started_since=running | ended)
             self._remove_lost(self.runs.list_runs())
             self._replace_health(Health(), "the upstream has restarted")
-        self._incarnation = incarnation
+        self._incarnation = report.incarnation
         self._acknowledged = 0
         self._acknowledgement_sent = 0
         self.runs.remove_orphans(orphan.key for orphan in self.runs.list_orphans())
@@ -299,6 +308,20 @@
         self.runs.remove_orphans((run.key,))
         self._run_added.set()
 
+    def report_crash(self, sign: CrashSign, started_since: Collection[RunKey] = ()) -> None:
+        """Report, once for each crash, the runs that were under way when the upstream crashed.
+
+        Those in ``started_since`` have started after it. An upstream that was draining has left as
+        planned, and its end says nothing of its runs.
+        """
+        if self._crash_reported or self.info.state is UpstreamState.DRAINING:
+            return
+        self._crash_reported = True
+        present = dict.fromkeys((*self.runs.list_under_way(), *self._lost_in_silence))
+        runs = tuple(key for key in present if key not in started_since)
+        if runs:
+            self._listener.upstream_crashed(self.info.id, sign, runs)
+
     def _remove_lost(self, runs: Iterable[Run]) -> None:
         for run in runs:
             self.runs.remove(run.key)
@@ -316,17 +339,21 @@
 
     def _handle_call_error(self, error: ExchangeError) -> None:
         self._eject(str(error))
+        if error.refused:
+            self.report_crash(CrashSign.REFUSED)
         self._set_unresponsive()
 
     def _set_unresponsive(self) -> None:
         self._unresponsive = True
         self._report_availability()
         if time.monotonic() > self._lease_end_s:
+            self._lost_in_silence += self.runs.list_under_way()
             self._remove_lost(self.runs.list_runs())
 
     def _handle_rejection(self, reason: RejectionReason) -> None:
         self._eject(reason)
         if reason is RejectionReason.OTHER_INCARNATION:
+            self.report_crash(CrashSign.REPLACED)
             self._remove_lost(self.runs.list_runs())
             self._clock = None
             self._incarnation = 0
@@ -375,11 +402,10 @@
         try:
             reply = await connection.start(command, COMMAND_TIMEOUT_S)
         except ExchangeError as error:
-            self._handle_call_error(error)
-            if error.may_have_run:
-                self.stop(run.task, run.number)
-            else:
+            if not error.may_have_run:
                 self._withdraw(run, None)
+            self._handle_call_error(error)
+            self.stop(run.task, run.number)
             return
         match reply:
             case Accepted():
--- a/packages/execution/src/fireflybridge_execution/_session_manager.py
+++ b/packages/execution/src/fireflybridge_execution/_session_manager.py
@@ -9,6 +9,7 @@
 
 from fireflybridge_execution._commands import CommandConnector
 from fireflybridge_execution._directory import DirectoryView
+from fireflybridge_execution._events import CrashSign
 from fireflybridge_execution._live_runs import LiveRuns
 from fireflybridge_execution._run_listener import RunListener
 from fireflybridge_execution._run_registry import Run
@@ -154,6 +155,8 @@
         for name, session in list(self._sessions.items()):
             info = wanted.get(name)
             if info is None or not self._is_current(session, info):
+                if info is not None and info.incarnation != session.info.incarnation:
+                    session.report_crash(CrashSign.RESTARTED)
                 self._retire(session)
             else:
                 session.update(info)
--- a/packages/host/src/fireflybridge_host/_event_logger.py
+++ b/packages/host/src/fireflybridge_host/_event_logger.py
@@ -15,6 +15,7 @@
     RunNotCompleted,
     TasksPlaced,
     UnexpectedError,
+    UpstreamCrashed,
     UpstreamEjected,
     UpstreamSynced,
 )
@@ -115,6 +116,14 @@
                     reason=event.reason,
                     failures=event.failures,
                 )
+            case UpstreamCrashed():
+                self._log.warning(
+                    "upstream crashed",
+                    event_id=7203,
+                    upstream=event.upstream,
+                    sign=event.sign,
+                    runs=[[f"{task.job}.{_format_task(task)}", run] for task, run in event.runs],
+                )
             case UnexpectedError(action=action, error=error):
                 self.record_unexpected_error(action, error)
 
