Give up tasks that crash the upstreams that start them

Cause: a run that is lost with its upstream was queued again without limit; only ends that an upstream reports as failed were counted, and the count died with the submission and with the leader.

A leader now records for each task the crashes of upstreams that had started it. A refused connection or another start of the upstream shows a crash; silence, a refused start, and the end of a draining upstream don't, and a reply under the same start retracts it. After two crashes, one of them while only the task's job ran there, or after three, the job is answered as failed and its other runs are stopped. A suspected task starts on an idle upstream if there is one, so that its neighbours are told from it. The record outlives the submission, and heartbeat replies carry it to the hosts that may lead next.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -217,3 +217,51 @@
     Given a host that begins to lead an upstream with a run of an earlier leader
     When it has asked the upstream for its runs several times
     Then no hold extended the lease
+
+  Scenario Outline: A task is given up after two crashes if it ran alone, or after three
+    Then a task is <verdict> after <crashes> crashes, <alone> of them while it ran alone
+
+    Examples:
+      | crashes | alone | verdict  |
+      | 1       | 1     | kept     |
+      | 2       | 0     | kept     |
+      | 2       | 1     | given up |
+      | 3       | 0     | given up |
+
+  Scenario: A task that crashes upstreams is given up, and one that ran beside it isn't
+    # Guards against a task that crashes one upstream after another (issue 26).
+    Given a leader of 3 in-memory upstreams that can crash
+    When a task crashes the upstream on which another job's task runs, and then the next one
+    Then each of them ran alone after the first crash
+    And the job whose task crashes upstreams is answered as failed after 2 starts
+    And the other job is answered as succeeded
+
+  Scenario Outline: A run that is lost without a crash doesn't count against its task
+    # Guards against a job that is given up after cuts, freezes or planned departures.
+    Given a leader of 3 in-memory upstreams that can crash
+    When an upstream <event> under a task, and then the next one
+    Then the job is answered as succeeded, and its task isn't suspected
+
+    Examples:
+      | event                            |
+      | is silent                        |
+      | refuses connections for a moment |
+      | leaves after a drain             |
+
+  Scenario: Starts that crashed upstreams refuse don't count against their tasks
+    # Guards against a job that is given up since it was placed on upstreams that had crashed before.
+    Given a leader of 3 in-memory upstreams that can crash
+    When a job of 2 tasks is placed on two upstreams that have crashed, and then on the next one
+    Then the job is answered as succeeded, and its task isn't suspected
+
+  Scenario: A job that was given up starts nothing when it is submitted again
+    Given a leader of 3 in-memory upstreams that can crash
+    When two upstreams crash under a task and its job is submitted again
+    Then the job whose task crashes upstreams is answered as failed after 2 starts
+
+  Scenario: A host that replaces its leader knows which tasks crash upstreams
+    # Guards against a new leader that starts such a task as if nothing was known of it (issue 26).
+    Given a leader of 3 in-memory upstreams that can crash
+    When two upstreams crash under a task and its job is submitted again
+    And it has replied to a heartbeat of a host, which then leads and gets the job
+    Then the job whose task crashes upstreams is answered as failed after 2 starts
--- a/features/site.feature
+++ b/features/site.feature
@@ -127,7 +127,6 @@
     Then every job is answered 200 "succeeded"
     And the failing upstream got fewer than a quarter of the starts
 
-  @known_red
   Scenario: A task that crashes the upstreams that start it takes down few of them
     # Guards against a task that crashes one upstream after another (issue 26).
     Given hosts on a site
@@ -136,7 +135,6 @@
     And no task has crashed more than 3 upstreams
     And a job submitted to another host is answered 200 "succeeded"
 
-  @known_red
   Scenario: A task that crashes upstreams is given up although the leader is killed
     # Guards against a new leader that starts such a task as if nothing was known of it (issue 26).
     Given hosts on a site
--- /dev/null
+++ b/features/steps/crashes.py
@@ -0,0 +1,241 @@
+"""Steps on tasks that crash the upstreams that start them."""
+
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import replace
+from unittest import mock
+
+import anyio
+from behave import given, then, when
+from behave.runner import Context
+from support.upstreams import (
+    CrashingUpstream,
+    EndlessConnector,
+    describe_upstreams,
+    make_job,
+    wait_until,
+)
+
+from fireflybridge_entry import LeaderMonitor, Peer, PeerService
+from fireflybridge_execution import DirectoryView, Scheduler
+from fireflybridge_http import Connection, Request, Response
+from fireflybridge_jobs import Crash, Failed, Job, Succeeded, TaskId, UpstreamState
+from fireflybridge_leadership import Holder, Leadership, Term
+from fireflybridge_placement import CrashHistory, should_give_up
+
+CRASHING_JOB = make_job("a", 1)
+OTHER_JOB = make_job("b", 1)
+TWO_TASKS = (replace(CRASHING_JOB.steps[0], count=2),)
+TASK = TaskId(CRASHING_JOB.id, 0, 0, 0)
+LONGER_THAN_LEASE_S = 0.8
+SHORTER_THAN_LEASE_S = 0.2
+
+
+def make_crash(index: int, *, alone: bool) -> Crash:
+    return Crash(TASK, f"u{index}", 1, alone)
+
+
+@then("a task is {verdict} after {crashes:d} crashes, {alone:d} of them while it ran alone")
+def check_verdict(context: Context, verdict: str, crashes: int, alone: int) -> None:
+    found = [make_crash(index, alone=index < alone) for index in range(crashes)]
+    assert should_give_up(found) is (verdict == "given up"), found
+
+
+@given("a leader of {count:d} in-memory upstreams that can crash")
+def given_leader(context: Context, count: int) -> None:
+    context.infos = describe_upstreams(count)
+    context.connector = EndlessConnector()
+    context.upstreams = {name: CrashingUpstream() for name in context.infos}
+    context.connector.upstreams.update(context.upstreams)
+    context.crashes = CrashHistory()
+    context.answers = {}
+
+
+@asynccontextmanager
+async def lead(context: Context) -> AsyncIterator[Scheduler]:
+    """Run a scheduler that leads the upstreams."""
+    crashes = context.crashes
+    scheduler = Scheduler(context.connector, lambda _: None, lambda: None, crashes)
+    async with anyio.create_task_group() as group:
+        group.start_soon(scheduler.serve)
+        scheduler.lead({"z1": 1000})
+        scheduler.set_upstreams(DirectoryView(context.infos, time.monotonic()))
+        await wait_until(lambda: all(session.synced for session in scheduler._sessions))
+        yield scheduler
+        group.cancel_scope.cancel()
+
+
+async def submit(context: Context, scheduler: Scheduler, job: Job) -> None:
+    context.answers[job.id] = await scheduler.submit(job, 0.0, None)
+
+
+def find_upstream(context: Context, job: Job) -> str:
+    """Return the upstream that runs a job's task, or an empty string."""
+    upstreams = context.upstreams.items()
+    running = [name for name, u in upstreams if any(r.task.job == job.id for r in u.running)]
+    return running[0] if running else ""
+
+
+async def wait_for_run(context: Context, job: Job, started: int) -> str:
+    """Return the upstream that runs a job's task once it was started so many times."""
+    await wait_until(lambda: count_starts(context, job) == started and find_upstream(context, job))
+    return find_upstream(context, job)
+
+
+def count_starts(context: Context, job: Job) -> int:
+    return sum(u.started_jobs.count(job.id) for u in context.upstreams.values())
+
+
+@when("a task crashes the upstream on which another job's task runs, and then the next one")
+def crash_beside(context: Context) -> None:
+    anyio.run(run_beside, context)
+
+
+async def run_beside(context: Context) -> None:
+    """Crash an upstream under two jobs, and the next one of the first job."""
+    async with lead(context) as scheduler, anyio.create_task_group() as group:
+        group.start_soon(submit, context, scheduler, CRASHING_JOB)
+        first = await wait_for_run(context, CRASHING_JOB, 1)
+        group.start_soon(submit, context, scheduler, OTHER_JOB)
+        assert await wait_for_run(context, OTHER_JOB, 1) == first
+        context.upstreams[first].crash()
+        context.second = await wait_for_run(context, CRASHING_JOB, 2)
+        context.other = await wait_for_run(context, OTHER_JOB, 2)
+        context.upstreams[context.second].crash()
+        await wait_until(lambda: CRASHING_JOB.id in context.answers)
+        context.upstreams[context.other].end_run()
+        await wait_until(lambda: OTHER_JOB.id in context.answers)
+
+
+@then("each of them ran alone after the first crash")
+def check_alone(context: Context) -> None:
+    assert context.second != context.other, context.second
+
+
+@then("the job whose task crashes upstreams is answered as failed after {starts:d} starts")
+def check_given_up(context: Context, starts: int) -> None:
+    assert isinstance(context.answers[CRASHING_JOB.id], Failed), context.answers
+    assert count_starts(context, CRASHING_JOB) == starts
+
+
+@then("the other job is answered as succeeded")
+def check_other(context: Context) -> None:
+    assert context.answers[OTHER_JOB.id] == Succeeded(), context.answers
+
+
+@when("an upstream {event} under a task, and then the next one")
+def lose_twice(context: Context, event: str) -> None:
+    anyio.run(run_and_lose_twice, context, event)
+
+
+async def run_and_lose_twice(context: Context, event: str) -> None:
+    """Let two upstreams in turn be silent, refuse connections or leave under a task, then end it."""
+    async with lead(context) as scheduler, anyio.create_task_group() as group:
+        group.start_soon(submit, context, scheduler, CRASHING_JOB)
+        for _ in range(2):
+            await wait_until(lambda: find_upstream(context, CRASHING_JOB))
+            await disturb(context, scheduler, find_upstream(context, CRASHING_JOB), event)
+            await wait_until(lambda: find_upstream(context, CRASHING_JOB))
+        context.upstreams[find_upstream(context, CRASHING_JOB)].end_run()
+        await wait_until(lambda: context.answers)
+        context.suspect = context.crashes.is_suspect(TASK)
+
+
+async def disturb(context: Context, scheduler: Scheduler, name: str, event: str) -> None:
+    upstream = context.upstreams[name]
+    match event:
+        case "is silent":
+            upstream.silent = True
+            await anyio.sleep(LONGER_THAN_LEASE_S)
+            upstream.running.clear()
+            upstream.silent = False
+        case "refuses connections for a moment":
+            upstream.refuses = True
+            await anyio.sleep(SHORTER_THAN_LEASE_S)
+            upstream.refuses = False
+            await anyio.sleep(SHORTER_THAN_LEASE_S)
+        case "leaves after a drain":
+            draining = replace(context.infos[name], state=UpstreamState.DRAINING)
+            context.infos = {**context.infos, name: draining}
+            scheduler.set_upstreams(DirectoryView(context.infos, time.monotonic()))
+            upstream.crash()
+        case _:
+            raise ValueError(event)
+
+
+@then("the job is answered as succeeded, and its task isn't suspected")
+def check_not_suspected(context: Context) -> None:
+    assert context.answers[CRASHING_JOB.id] == Succeeded(), context.answers
+    assert not context.suspect
+
+
+@when("a job of 2 tasks is placed on two upstreams that have crashed, and then on the next one")
+def place_on_crashed(context: Context) -> None:
+    anyio.run(run_on_crashed, context)
+
+
+async def run_on_crashed(context: Context) -> None:
+    """Run a job of two tasks while two upstreams refuse all calls and the third is full at first."""
+    async with lead(context) as scheduler, anyio.create_task_group() as group:
+        group.start_soon(submit, context, scheduler, replace(OTHER_JOB, steps=TWO_TASKS))
+        await wait_until(lambda: count_starts(context, OTHER_JOB) == 2)
+        up = context.upstreams[find_upstream(context, OTHER_JOB)]
+        crashed = [upstream for upstream in context.upstreams.values() if upstream is not up]
+        for upstream in crashed:
+            upstream.crash()
+        group.start_soon(submit, context, scheduler, replace(CRASHING_JOB, steps=TWO_TASKS))
+        await wait_until(lambda: all(upstream.refused_starts for upstream in crashed))
+        up.end_run()
+        up.end_run()
+        await wait_until(lambda: find_upstream(context, CRASHING_JOB) and len(up.running) == 2)
+        context.suspect = any(
+            context.crashes.is_suspect(replace(TASK, index=index)) for index in range(2)
+        )
+        up.end_run()
+        up.end_run()
+
+
+@when("two upstreams crash under a task and its job is submitted again")
+def crash_twice(context: Context) -> None:
+    anyio.run(run_and_crash_twice, context)
+
+
+async def run_and_crash_twice(context: Context) -> None:
+    """Crash two upstreams under a task, and submit its job again."""
+    async with lead(context) as scheduler:
+        async with anyio.create_task_group() as group:
+            group.start_soon(submit, context, scheduler, CRASHING_JOB)
+            for starts in (1, 2):
+                name = await wait_for_run(context, CRASHING_JOB, starts)
+                context.upstreams[name].crash()
+        context.answers.clear()
+        await submit(context, scheduler, CRASHING_JOB)
+
+
+@when("it has replied to a heartbeat of a host, which then leads and gets the job")
+def replace_leader(context: Context) -> None:
+    anyio.run(lead_next, context)
+
+
+async def lead_next(context: Context) -> None:
+    """Let a host hear of the crashes from the leader, lead and get the job."""
+    holder = Holder("h1", "1", "h1:1")
+    leader = Peer(holder, "z1", 1.0)
+    follower = Peer(Holder("h2", "1", "h2:1"), "z1", 1.0)
+    leadership = Leadership(mock.Mock(), lambda _: None)
+    leadership.add_terms((Term("z1", holder, 1000),))
+    service = PeerService(leader, mock.Mock(), leadership, context.crashes)
+
+    async def exchange(_connection: Connection, request: Request, _timeout_s: float) -> Response:
+        return await service.handle(request)
+
+    context.crashes = CrashHistory()
+    monitor = LeaderMonitor(leadership, follower, context.crashes)
+    with mock.patch.object(Connection, "exchange", exchange):
+        assert await monitor.probe(holder)
+    context.answers.clear()
+    for upstream in context.upstreams.values():
+        upstream.refuses = False
+    async with lead(context) as scheduler:
+        await submit(context, scheduler, CRASHING_JOB)
--- a/features/support/upstreams.py
+++ b/features/support/upstreams.py
@@ -1,10 +1,12 @@
 """In-memory upstreams whose runs end when a test says so."""
 
 from collections.abc import Callable
+from dataclasses import replace
 
 import anyio
 
 from fireflybridge_execution import Accepted, Hold, Start, Stop
+from fireflybridge_http import ExchangeError, ExchangeStep
 from fireflybridge_jobs import (
     EndedRun,
     Job,
@@ -21,6 +23,8 @@
 CAPACITY = Resources(16000, 65536, 0)
 NEEDS = Resources(6800, 64, 0)
 WAIT_LIMIT_S = 5.0
+SILENCE_TIMEOUT_S = 0.1
+REFUSAL_S = 0.005
 
 
 class EndlessUpstream:
@@ -60,6 +64,47 @@
         self.ended.append(EndedRun(sequence, run.task, run.number, RunOutcome.DONE))
 
 
+class CrashingUpstream(EndlessUpstream):
+    """An endless upstream that a test crashes or cuts off."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.incarnation = 1
+        self.refuses = False
+        self.silent = False
+        self.refused_starts = 0
+        self.started_jobs: list[str] = []
+
+    async def start(self, command: Start, timeout_s: float) -> Accepted:
+        """Start a run."""
+        self.refused_starts += self.refuses
+        await self._check_reachable()
+        self.started_jobs.append(command.task.job)
+        return await super().start(command, timeout_s)
+
+    async def hold(self, command: Hold, timeout_s: float) -> RunReport:
+        """Return the lists of runs."""
+        await self._check_reachable()
+        report = await super().hold(command, timeout_s)
+        await self._check_reachable()
+        return replace(report, incarnation=self.incarnation)
+
+    def crash(self) -> None:
+        """Forget everything and refuse connections."""
+        self.running.clear()
+        self.ended.clear()
+        self.refuses = True
+        self.incarnation += 1
+
+    async def _check_reachable(self) -> None:
+        if self.refuses:
+            await anyio.sleep(REFUSAL_S)
+            raise ExchangeError(ExchangeStep.CONNECT, "u", "refused")
+        if self.silent:
+            await anyio.sleep(SILENCE_TIMEOUT_S)
+            raise ExchangeError(ExchangeStep.RECEIVE, "u", "timed out")
+
+
 class EndlessConnector:
     """Connector to endless upstreams, by id."""
 
--- a/packages/entry/src/fireflybridge_entry/_codec.py
+++ b/packages/entry/src/fireflybridge_entry/_codec.py
@@ -8,6 +8,7 @@
 from fireflybridge_http import Request, Response
 from fireflybridge_jobs import (
     Answer,
+    Crash,
     EarlierRuns,
     Failed,
     Job,
@@ -52,14 +53,16 @@
 
 @dataclass(frozen=True, slots=True)
 class HeartbeatReply:
-    """Hold the reply to a heartbeat: the replying host, the terms it knows, and peers.
+    """Hold the reply to a heartbeat: the replying host, the terms it knows, peers and crashes.
 
-    The peers are the hosts that send it heartbeats from the failure domain of the requesting host.
+    The peers are the hosts that send it heartbeats from the failure domain of the requesting host;
+    the crashes are those that it has learned of lately.
     """
 
     sender: Peer
     terms: tuple[Term, ...]
     peers: tuple[Peer, ...]
+    crashes: tuple[Crash, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/entry/src/fireflybridge_entry/_leader_monitor.py
+++ b/packages/entry/src/fireflybridge_entry/_leader_monitor.py
@@ -17,6 +17,7 @@
 from fireflybridge_entry._silence import WaitingClock
 from fireflybridge_http import Connection, ExchangeError
 from fireflybridge_leadership import Holder, Leadership, Term
+from fireflybridge_placement import CrashHistory
 
 HEARTBEAT_INTERVAL_S = 0.15
 HEARTBEAT_TIMEOUT_S = 0.25
@@ -33,13 +34,16 @@
 
 
 class LeaderMonitor:
-    """Exchange heartbeats with a leader, and keep the terms and peers from its replies."""
+    """Exchange heartbeats with a leader, and keep the terms, peers and crashes from its replies."""
 
-    def __init__(self, leadership: Leadership, host: Peer) -> None:
+    def __init__(
+        self, leadership: Leadership, host: Peer, crashes: CrashHistory | None = None
+    ) -> None:
         self.peers: tuple[Peer, ...] = ()
         """The other known hosts of this host's failure domain."""
         self._leadership = leadership
         self._host = host
+        self._crashes = CrashHistory() if crashes is None else crashes
         self._heartbeat = encode_heartbeat(host)
 
     def start_draining(self) -> None:
@@ -118,8 +122,10 @@
         return decode_heartbeat_reply(response)
 
     def _learn(self, reply: HeartbeatReply, keep: Iterable[Peer] = ()) -> None:
-        """Note the terms and the peers of a reply; its sender may be a peer itself."""
+        """Note the terms, crashes and peers of a reply; its sender may be a peer itself."""
         self._leadership.add_terms(reply.terms)
+        for crash in reply.crashes:
+            self._crashes.record(crash)
         found = {peer.holder.host: peer for peer in (*keep, *reply.peers, reply.sender)}
         self.peers = tuple(
             peer
--- a/packages/entry/src/fireflybridge_entry/_peer_service.py
+++ b/packages/entry/src/fireflybridge_entry/_peer_service.py
@@ -22,6 +22,7 @@
 from fireflybridge_http import Request, Response
 from fireflybridge_jobs import Answer, Moved, TimedOut
 from fireflybridge_leadership import Leadership
+from fireflybridge_placement import CrashHistory
 
 PEER_CHECK_INTERVAL_S = 0.1
 
@@ -41,10 +42,17 @@
     and their callers may submit them to another host.
     """
 
-    def __init__(self, host: Peer, scheduler: JobScheduler, leadership: Leadership) -> None:
+    def __init__(
+        self,
+        host: Peer,
+        scheduler: JobScheduler,
+        leadership: Leadership,
+        crashes: CrashHistory | None = None,
+    ) -> None:
         self._host = host
         self._scheduler = scheduler
         self._leadership = leadership
+        self._crashes = CrashHistory() if crashes is None else crashes
         self._heartbeats: dict[str, _ReceivedHeartbeat] = {}
         self._cancel_scopes: dict[str, set[anyio.CancelScope]] = {}
         self._clock = WaitingClock()
@@ -94,7 +102,8 @@
             if heartbeat.sender.failure_domain == sender.failure_domain
         )
         terms = tuple(self._leadership.terms.values())
-        return encode_heartbeat_reply(HeartbeatReply(self._host, terms, peers))
+        crashes = self._crashes.list_recent()
+        return encode_heartbeat_reply(HeartbeatReply(self._host, terms, peers, crashes))
 
     async def _handle_submission(self, request: Request) -> Response:
         try:
--- a/packages/execution/src/fireflybridge_execution/_events.py
+++ b/packages/execution/src/fireflybridge_execution/_events.py
@@ -110,6 +110,7 @@
     """An upstream seems to have crashed while these runs were under way on it."""
 
     upstream: str
+    incarnation: int
     sign: CrashSign
     runs: tuple[RunKey, ...]
 
--- a/packages/execution/src/fireflybridge_execution/_free_capacity.py
+++ b/packages/execution/src/fireflybridge_execution/_free_capacity.py
@@ -46,4 +46,6 @@
     def _build_candidate(self, session: UpstreamSession) -> UpstreamCandidate:
         info = session.info
         speed = self._estimator.get_speed(info.id)
-        return UpstreamCandidate(info.id, info.pool, session.available, speed, info.labels)
+        available = session.available
+        idle = session.runs.is_empty
+        return UpstreamCandidate(info.id, info.pool, available, speed, info.labels, idle)
--- a/packages/execution/src/fireflybridge_execution/_placer.py
+++ b/packages/execution/src/fireflybridge_execution/_placer.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Iterable
+from dataclasses import replace
 from math import inf
 
 from fireflybridge_execution._active_job import ActiveJob
@@ -11,9 +12,11 @@
 from fireflybridge_execution._session_manager import SessionManager
 from fireflybridge_jobs import TaskId
 from fireflybridge_placement import (
+    CrashHistory,
     RunProgress,
     TaskRequirements,
     TimeLimits,
+    UpstreamCandidate,
     UpstreamIndex,
     WorkEstimator,
     compute_objective_ms,
@@ -29,9 +32,10 @@
 class Placer:
     """Supply the placement decisions with the state of upstreams and tasks, and apply the results."""
 
-    def __init__(self, sessions: SessionManager) -> None:
+    def __init__(self, sessions: SessionManager, crashes: CrashHistory) -> None:
         self.estimator = WorkEstimator()
         self._sessions = sessions
+        self._crashes = crashes
         self._free = FreeCapacity(sessions, self.estimator)
 
     def mark_changed(self, upstream: str) -> None:
@@ -93,13 +97,15 @@
     def _place_task(self, active: ActiveJob, task: TaskId, now_s: float) -> Placement | None:
         index = self._free.get_index()
         requirements = self._build_requirements(active, task, index, now_s)
-        chosen = index.choose(requirements)
+        suspect = self._crashes.is_suspect(task)
+        chosen = _choose_alone(index, requirements) if suspect else index.choose(requirements)
         session = None if chosen is None else self._sessions.find(chosen.id)
         if chosen is None or session is None:
             return None
         active.waiting.remove(task)
         number = active.record_placement(task, chosen.id, now_s)
-        session.start(task, number, active.job.spec, requirements.needs)
+        exclusive = suspect and chosen.idle
+        session.start(task, number, active.job.spec, requirements.needs, exclusive=exclusive)
         return Placement(task, number, chosen.id, chosen.speed)
 
     def _build_requirements(
@@ -136,3 +142,9 @@
             LATE_FACTOR * objective_ms - age_ms,
             (active.deadline_s - now_s) * 1000,
         )
+
+
+def _choose_alone(index: UpstreamIndex, requirements: TaskRequirements) -> UpstreamCandidate | None:
+    """Return an upstream that runs nothing, so that a crash harms no other task, or else any."""
+    idle = index.choose(replace(requirements, needs_idle=True))
+    return index.choose(requirements) if idle is None else idle
--- a/packages/execution/src/fireflybridge_execution/_run_listener.py
+++ b/packages/execution/src/fireflybridge_execution/_run_listener.py
@@ -3,8 +3,8 @@
 from typing import Protocol
 
 from fireflybridge_execution._commands import RejectionReason
-from fireflybridge_execution._events import CrashSign
-from fireflybridge_execution._run_registry import Run, RunKey
+from fireflybridge_execution._events import UpstreamCrashed
+from fireflybridge_execution._run_registry import Run
 from fireflybridge_jobs import EndedRun, Resources, RunningRun, RunOutcome
 
 
@@ -44,9 +44,12 @@
     def session_failed(self, upstream: str, error: Exception) -> None:
         """Handle an unexpected error that has ended a session; another one replaces it."""
 
-    def upstream_crashed(self, upstream: str, sign: CrashSign, runs: tuple[RunKey, ...]) -> None:
+    def upstream_crashed(self, crashed: UpstreamCrashed) -> None:
         """Handle a presumed crash of the upstream with the runs that were under way there."""
 
+    def upstream_survived(self, upstream: str, incarnation: int) -> None:
+        """Handle a reply of an upstream that was presumed to have crashed."""
+
     def upstream_synced(self, upstream: str, incarnation: int, running: int) -> None:
         """Handle the first list of all runs of the upstream."""
 
--- a/packages/execution/src/fireflybridge_execution/_run_registry.py
+++ b/packages/execution/src/fireflybridge_execution/_run_registry.py
@@ -26,6 +26,8 @@
     """A run of a task on this upstream.
 
     ``confirmed_s`` is when the upstream acknowledged the start or stop, None before that.
+    ``started`` is whether the upstream got the start while it was up. Beside an ``exclusive`` run no
+    other is started.
     """
 
     task: TaskId
@@ -35,6 +37,8 @@
     phase: RunPhase
     placed_s: float
     confirmed_s: float | None = None
+    started: bool = False
+    exclusive: bool = False
 
     @property
     def key(self) -> RunKey:
@@ -79,6 +83,11 @@
         """Return whether there are runs of an earlier leader."""
         return bool(self._orphans)
 
+    @property
+    def has_exclusive(self) -> bool:
+        """Return whether there is a run beside which no other may be started."""
+        return any(run.exclusive for run in self._runs.values())
+
     @property
     def is_empty(self) -> bool:
         """Return whether there are no runs at all."""
@@ -100,10 +109,15 @@
         """Return the runs of earlier leaders."""
         return tuple(self._orphans.values())
 
-    def list_under_way(self) -> tuple[RunKey, ...]:
-        """Return the runs that the upstream may have started, of this host or an earlier leader."""
-        sent = (run.key for run in self._runs.values() if run.phase is not RunPhase.QUEUED)
-        return (*sent, *self._orphans)
+    @property
+    def is_starting(self) -> bool:
+        """Return whether it is open if the upstream has got a start."""
+        return any(run.phase is RunPhase.STARTING for run in self._runs.values())
+
+    def list_started(self) -> tuple[RunKey, ...]:
+        """Return the runs that the upstream has started, of this host or an earlier leader."""
+        started = (run.key for run in self._runs.values() if run.started)
+        return (*started, *self._orphans)
 
     def add(self, run: Run) -> None:
         """Add a run and the resources that it uses."""
--- a/packages/execution/src/fireflybridge_execution/_scheduler.py
+++ b/packages/execution/src/fireflybridge_execution/_scheduler.py
@@ -9,7 +9,6 @@
 from fireflybridge_execution._commands import CommandConnector, RejectionReason
 from fireflybridge_execution._directory import DirectoryView
 from fireflybridge_execution._events import (
-    CrashSign,
     ExecutionEvent,
     JobEnded,
     JobReceived,
@@ -24,10 +23,11 @@
 from fireflybridge_execution._placer import Placer
 from fireflybridge_execution._queue import JobQueue
 from fireflybridge_execution._recent_ends import RecentEnds
-from fireflybridge_execution._run_registry import Run, RunKey
+from fireflybridge_execution._run_registry import Run
 from fireflybridge_execution._session_manager import SessionManager
 from fireflybridge_jobs import (
     Answer,
+    Crash,
     EarlierRuns,
     EndedRun,
     Failed,
@@ -40,7 +40,12 @@
     RunOutcome,
     TimedOut,
 )
-from fireflybridge_placement import RETRY_AFTER_S, compute_latest_start, compute_refusal_time
+from fireflybridge_placement import (
+    RETRY_AFTER_S,
+    CrashHistory,
+    compute_latest_start,
+    compute_refusal_time,
+)
 
 PLACEMENT_RETRY_S = 0.02  # notices the end of ejections and back-offs while jobs wait
 SKIPPED_NUMBERS = 8  # skipped after an upstream rejected a run number as old
@@ -56,11 +61,13 @@
         connector: CommandConnector,
         on_event: Callable[[ExecutionEvent], None],
         on_superseded: Callable[[], None],
+        crashes: CrashHistory | None = None,
     ) -> None:
         self._on_event = on_event
         self._on_superseded = on_superseded
         self._sessions = SessionManager(connector, self, self.run_lost)
-        self._placer = Placer(self._sessions)
+        self._crashes = CrashHistory() if crashes is None else crashes
+        self._placer = Placer(self._sessions, self._crashes)
         self._queue = JobQueue()
         self._jobs: dict[str, ActiveJob] = {}
         self._recent_ends = RecentEnds()
@@ -142,6 +149,7 @@
                 active.finish(task)
         for session in self._sessions:
             session.adopt_orphans(job.id)
+        self._give_up_if_crashing(active)
         self._enqueue(active)
         self._abandon_late_jobs()
         self._place()
@@ -401,9 +409,24 @@
         fence = 0 if session is None else session.fence
         self._on_event(UpstreamSynced(upstream, fence, incarnation, running))
 
-    def upstream_crashed(self, upstream: str, sign: CrashSign, runs: tuple[RunKey, ...]) -> None:
-        """Report a presumed crash of an upstream."""
-        self._on_event(UpstreamCrashed(upstream, sign, runs))
+    def upstream_crashed(self, crashed: UpstreamCrashed) -> None:
+        """Record the crash for the tasks that ran there, and give up those that may cause crashes."""
+        self._on_event(crashed)
+        jobs = {task.job for task, _ in crashed.runs}
+        for task, _ in crashed.runs:
+            self._crashes.record(
+                Crash(task, crashed.upstream, crashed.incarnation, alone=len(jobs) == 1)
+            )
+        for active in filter(None, map(self._jobs.get, jobs)):
+            self._give_up_if_crashing(active)
+
+    def upstream_survived(self, upstream: str, incarnation: int) -> None:
+        """Retract the crash of an upstream that couldn't be reached."""
+        self._crashes.retract(upstream, incarnation)
+
+    def _give_up_if_crashing(self, active: ActiveJob) -> None:
+        if self._crashes.has_given_up(active.job.id):
+            active.set_answer(Failed("a task crashes the upstreams that start it"))
 
     def upstream_ejected(self, upstream: str, reason: str, failures: int) -> None:
         """Report an ejected upstream."""
--- a/packages/execution/src/fireflybridge_execution/_session.py
+++ b/packages/execution/src/fireflybridge_execution/_session.py
@@ -18,7 +18,7 @@
     Start,
     Stop,
 )
-from fireflybridge_execution._events import CrashSign
+from fireflybridge_execution._events import CrashSign, UpstreamCrashed
 from fireflybridge_execution._live_runs import LiveRuns
 from fireflybridge_execution._run_listener import RunListener
 from fireflybridge_execution._run_registry import OrphanedRun, Run, RunKey, RunPhase, RunRegistry
@@ -98,6 +98,7 @@
             and self.info.state is UpstreamState.READY
             and now_s >= self._full_until_s
             and not self.runs.has_orphans
+            and not self.runs.has_exclusive
             and self.health.admits(now_s, len(self.runs))
         )
 
@@ -114,9 +115,12 @@
     def _report_availability(self) -> None:
         self._listener.availability_changed(self.info.id)
 
-    def start(self, task: TaskId, number: int, spec: str, needs: Resources) -> None:
+    def start(
+        self, task: TaskId, number: int, spec: str, needs: Resources, *, exclusive: bool = False
+    ) -> None:
         """Queue the start of a run; the listener is called with the result."""
-        run = Run(task, number, spec, needs, RunPhase.QUEUED, time.monotonic())
+        now_s = time.monotonic()
+        run = Run(task, number, spec, needs, RunPhase.QUEUED, now_s, exclusive=exclusive)
         self.runs.add(run)
         self._run_added.set()
         self._queue_sender.send_nowait(run.key)
@@ -220,6 +224,8 @@
             self._report_availability()
         if report.incarnation != self._incarnation:
             self._begin_incarnation(report)
+        elif self._crash_reported:
+            self._listener.upstream_survived(self.info.id, self._incarnation)
         self._crash_reported = False
         self._lost_in_silence = ()
         self._clock = RemoteClock(report.clock_ms, now_s)
@@ -295,12 +301,12 @@
         needs = self._listener.orphan_found(self.info.id, found)
         orphan = self.runs.find_orphan(key)
         if needs is not None:
-            self._adopt(Run(*key, "", needs, RunPhase.RUNNING, now_s, now_s))
+            self._adopt(Run(*key, "", needs, RunPhase.RUNNING, now_s, now_s, started=True))
         elif orphan is None:
             self.runs.add_orphan(OrphanedRun(found, now_s + ADOPTION_WAIT_S))
             self._run_added.set()
         elif now_s >= orphan.stop_after_s:
-            self._adopt(Run(*key, "", Resources(), RunPhase.STOPPING, now_s))
+            self._adopt(Run(*key, "", Resources(), RunPhase.STOPPING, now_s, started=True))
             self._queue_sender.send_nowait(key)
 
     def _adopt(self, run: Run) -> None:
@@ -317,10 +323,11 @@
         if self._crash_reported or self.info.state is UpstreamState.DRAINING:
             return
         self._crash_reported = True
-        present = dict.fromkeys((*self.runs.list_under_way(), *self._lost_in_silence))
+        present = dict.fromkeys((*self.runs.list_started(), *self._lost_in_silence))
         runs = tuple(key for key in present if key not in started_since)
         if runs:
-            self._listener.upstream_crashed(self.info.id, sign, runs)
+            crashed = UpstreamCrashed(self.info.id, self._incarnation, sign, runs)
+            self._listener.upstream_crashed(crashed)
 
     def _remove_lost(self, runs: Iterable[Run]) -> None:
         for run in runs:
@@ -339,7 +346,8 @@
 
     def _handle_call_error(self, error: ExchangeError) -> None:
         self._eject(str(error))
-        if error.refused:
+        if error.refused and not self.runs.is_starting:
+            # Otherwise the next call to be refused reports it.
             self.report_crash(CrashSign.REFUSED)
         self._set_unresponsive()
 
@@ -347,7 +355,7 @@
         self._unresponsive = True
         self._report_availability()
         if time.monotonic() > self._lease_end_s:
-            self._lost_in_silence += self.runs.list_under_way()
+            self._lost_in_silence += self.runs.list_started()
             self._remove_lost(self.runs.list_runs())
 
     def _handle_rejection(self, reason: RejectionReason) -> None:
@@ -404,11 +412,15 @@
         except ExchangeError as error:
             if not error.may_have_run:
                 self._withdraw(run, None)
+            elif not error.timed_out:
+                # The upstream has ended the connection, maybe due to this start.
+                self._mark_started(run)
             self._handle_call_error(error)
             self.stop(run.task, run.number)
             return
         match reply:
             case Accepted():
+                self._mark_started(run)
                 self._confirm(run)
                 self._listener.run_accepted(self.info.id, run)
             case Rejected(reason=RejectionReason.FENCE):
@@ -458,6 +470,11 @@
         phase = RunPhase.RUNNING if run.phase is RunPhase.STARTING else run.phase
         self.runs.update(replace(current, phase=phase, confirmed_s=time.monotonic()))
 
+    def _mark_started(self, run: Run) -> None:
+        current = self.runs.find(run.key)
+        if current is not None:
+            self.runs.update(replace(current, started=True))
+
     def _withdraw(self, run: Run, reason: RejectionReason | None) -> None:
         if self.runs.remove(run.key) is not None:
             self._listener.run_not_started(self.info.id, run, reason)
--- a/packages/host/src/fireflybridge_host/_host.py
+++ b/packages/host/src/fireflybridge_host/_host.py
@@ -29,6 +29,7 @@
 from fireflybridge_http import Request, Response, Server, ServerLimits
 from fireflybridge_jobs import Answer
 from fireflybridge_leadership import Holder, Leadership, TermStore
+from fireflybridge_placement import CrashHistory
 
 UNREADY_LISTEN_S = 1.0  # the load balancer takes this long to notice that the host isn't ready
 DRAIN_CHECK_INTERVAL_S = 0.05
@@ -80,21 +81,23 @@
         peer = Peer(holder, settings.failure_domain, settings.strength)
         self._leadership = Leadership(ports.terms, self._event_logger.record_store_error)
         self._route_table = RouteTable()
+        crashes = CrashHistory()
         self._scheduler = Scheduler(
             ports.commands,
             self._event_logger.record_execution,
             self._leadership.changed.notify,
+            crashes,
         )
         self._directory = UpstreamDirectory(
             ports.directory, self._scheduler.set_upstreams, self._event_logger.record_store_error
         )
         self._submitter = JobSubmitter(settings.name, self._scheduler)
-        self._peer_service = PeerService(peer, self._scheduler, self._leadership)
+        self._peer_service = PeerService(peer, self._scheduler, self._leadership, crashes)
         self._election = LeaderElection(
             settings,
             holder,
             self._leadership,
-            LeaderMonitor(self._leadership, peer),
+            LeaderMonitor(self._leadership, peer, crashes),
             self._submitter,
             self._scheduler,
             self._directory,
--- a/packages/http/src/fireflybridge_http/_client.py
+++ b/packages/http/src/fireflybridge_http/_client.py
@@ -42,6 +42,11 @@
         """Return whether the connection was refused because nothing listens at the address."""
         return self.step is ExchangeStep.CONNECT and self.reason == "refused"
 
+    @property
+    def timed_out(self) -> bool:
+        """Return whether the peer stayed silent, rather than ending the connection."""
+        return self.reason == "timed out"
+
 
 class Connection:
     """Send requests to one address; the connection is closed whenever its state is uncertain."""
--- a/packages/jobs/src/fireflybridge_jobs/__init__.py
+++ b/packages/jobs/src/fireflybridge_jobs/__init__.py
@@ -11,11 +11,12 @@
     TimedOut,
 )
 from fireflybridge_jobs._jobs import Job, RoutePolicy, Step, TaskId
-from fireflybridge_jobs._runs import EndedRun, RunningRun, RunOutcome, RunReport
+from fireflybridge_jobs._runs import Crash, EndedRun, RunningRun, RunOutcome, RunReport
 from fireflybridge_jobs._upstreams import Resources, UpstreamInfo, UpstreamState
 
 __all__ = [
     "Answer",
+    "Crash",
     "EarlierRuns",
     "EndedRun",
     "Failed",
--- a/packages/jobs/src/fireflybridge_jobs/_runs.py
+++ b/packages/jobs/src/fireflybridge_jobs/_runs.py
@@ -45,3 +45,16 @@
     incarnation: int
     running: tuple[RunningRun, ...]
     ended: tuple[EndedRun, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Crash:
+    """The crash of an upstream while a task ran on it.
+
+    ``alone`` is whether all tasks that ran there belong to one job.
+    """
+
+    task: TaskId
+    upstream: str
+    incarnation: int
+    alone: bool
--- a/packages/placement/src/fireflybridge_placement/__init__.py
+++ b/packages/placement/src/fireflybridge_placement/__init__.py
@@ -2,6 +2,7 @@
 
 from fireflybridge_placement._admission import RETRY_AFTER_S, compute_refusal_time
 from fireflybridge_placement._choice import TaskRequirements, UpstreamCandidate, choose_upstream
+from fireflybridge_placement._crashes import CrashHistory, should_give_up
 from fireflybridge_placement._estimates import WorkEstimator
 from fireflybridge_placement._health import (
     Health,
@@ -24,6 +25,7 @@
 
 __all__ = [
     "RETRY_AFTER_S",
+    "CrashHistory",
     "Health",
     "RunProgress",
     "TaskRequirements",
@@ -40,5 +42,6 @@
     "record_failure",
     "record_success",
     "select_missed_limits",
+    "should_give_up",
     "should_move",
 ]
--- a/packages/placement/src/fireflybridge_placement/_choice.py
+++ b/packages/placement/src/fireflybridge_placement/_choice.py
@@ -22,6 +22,7 @@
     available: Resources
     speed: float
     labels: tuple[str, ...]
+    idle: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,6 +39,8 @@
     limit_ms: float = inf
     """Required maximum run time; upstreams that would exceed it are never chosen."""
     excluded: frozenset[str] = frozenset()
+    needs_idle: bool = False
+    """Whether nothing else may run on the upstream."""
 
 
 def choose_upstream(
@@ -60,6 +63,7 @@
         candidate.pool == requirements.pool
         and requirements.needs.fits_in(candidate.available)
         and candidate.id not in requirements.excluded
+        and (candidate.idle or not requirements.needs_idle)
         and requirements.work_ms / candidate.speed <= requirements.limit_ms
         and _has_label(candidate.labels, requirements.required_label)
     )
--- /dev/null
+++ b/packages/placement/src/fireflybridge_placement/_crashes.py
@@ -0,0 +1,87 @@
+"""Tasks under which upstreams have crashed, and when such a task is given up."""
+
+import time
+from collections import deque
+from collections.abc import Collection
+from dataclasses import dataclass
+
+from fireflybridge_jobs import Crash, TaskId
+
+CRASHES_TO_GIVE_UP = 3
+CRASHES_ALONE_TO_GIVE_UP = 2  # if no other job's task can have caused one of them
+RETENTION_S = 30.0  # callers have stopped submitting a job again by then
+SHARING_S = 2.0  # several heartbeats, as replies to some may be lost
+
+
+def should_give_up(crashes: Collection[Crash]) -> bool:
+    """Return whether a task is to be started no more.
+
+    A task that ran beside the cause of one crash or even two isn't to blame for them, so a crash
+    while it ran alone counts for more.
+    """
+    if any(crash.alone for crash in crashes):
+        return len(crashes) >= CRASHES_ALONE_TO_GIVE_UP
+    return len(crashes) >= CRASHES_TO_GIVE_UP
+
+
+@dataclass(frozen=True, slots=True)
+class _RecordedCrash:
+    """A crash, and when this host learned of it on the monotonic clock."""
+
+    crash: Crash
+    recorded_s: float
+
+
+class CrashHistory:
+    """Remember for a while under which tasks upstreams have crashed, whoever leads.
+
+    It outlives the submission of a job, which its caller may repeat. A leader shares it with the
+    hosts that may replace it.
+    """
+
+    def __init__(self) -> None:
+        self._recorded: deque[_RecordedCrash] = deque()
+        self._by_job: dict[str, dict[TaskId, list[Crash]]] = {}
+
+    def record(self, crash: Crash) -> None:
+        """Add a crash unless it is known."""
+        now_s = time.monotonic()
+        while self._recorded and self._recorded[0].recorded_s < now_s - RETENTION_S:
+            self._remove(self._recorded.popleft().crash)
+        crashes = self._by_job.setdefault(crash.task.job, {}).setdefault(crash.task, [])
+        known = {(other.upstream, other.incarnation) for other in crashes}
+        if (crash.upstream, crash.incarnation) not in known:
+            crashes.append(crash)
+            self._recorded.append(_RecordedCrash(crash, now_s))
+
+    def retract(self, upstream: str, incarnation: int) -> None:
+        """Remove what was recorded of an upstream that turns out not to have crashed."""
+        false = [
+            recorded
+            for recorded in self._recorded
+            if (recorded.crash.upstream, recorded.crash.incarnation) == (upstream, incarnation)
+        ]
+        for recorded in false:
+            self._recorded.remove(recorded)
+            self._remove(recorded.crash)
+
+    def is_suspect(self, task: TaskId) -> bool:
+        """Return whether an upstream has crashed under a task."""
+        return task in self._by_job.get(task.job, {})
+
+    def has_given_up(self, job: str) -> bool:
+        """Return whether one of a job's tasks is to be started no more."""
+        return any(map(should_give_up, self._by_job.get(job, {}).values()))
+
+    def list_recent(self) -> tuple[Crash, ...]:
+        """Return the crashes that other hosts may not know of yet."""
+        oldest_s = time.monotonic() - SHARING_S
+        return tuple(r.crash for r in self._recorded if r.recorded_s >= oldest_s)
+
+    def _remove(self, crash: Crash) -> None:
+        tasks = self._by_job[crash.task.job]
+        tasks[crash.task].remove(crash)
+        if not tasks[crash.task]:
+            del tasks[crash.task]
+        if not tasks:
+            del self._by_job[crash.task.job]
--- a/packages/placement/src/fireflybridge_placement/_index.py
+++ b/packages/placement/src/fireflybridge_placement/_index.py
@@ -85,8 +85,13 @@
     def _preselect(self, requirements: TaskRequirements) -> Iterable[UpstreamCandidate]:
         """Return upstreams of each group among which is the one with the lowest cost."""
         groups = self._list_fitting(requirements.pool, requirements.needs)
-        if requirements.required_label or requirements.data_rack or requirements.excluded:
-            # Labels and exclusions differ within a group; few tasks have them.
+        if (
+            requirements.required_label
+            or requirements.data_rack
+            or requirements.excluded
+            or requirements.needs_idle
+        ):
+            # These differ within a group; few tasks have them.
             entries = chain.from_iterable(groups)
         else:
             entries = chain.from_iterable(_select_extremes(group, requirements) for group in groups)
