Use an upstream again that was silent for longer than its lease

Callers of a site whose upstreams were cut off from their leader for more than 0.6 s got 503 as if these upstreams were gone, until the directory or the leader changed: when the last run there was given up, the session waited for a new run before it sent the next call, and no run is placed on an upstream that hasn't replied.

The session goes on asking, each 0.25 s while nothing runs there. The new scenario of decisions.feature failed before with a refusal for no-room.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -248,6 +248,12 @@
       | refuses connections for a moment |
       | leaves after a drain             |
 
+  Scenario: An upstream that was silent for longer than its lease is used again
+    # Guards against an upstream that gets no more work from its leader after a cut.
+    Given a leader of 1 in-memory upstreams that can crash
+    When an upstream is silent under a task until its job is answered
+    Then a further job is answered as succeeded
+
   Scenario: Starts that crashed upstreams refuse don't count against their tasks
     # Guards against a job that is given up since it was placed on upstreams that had crashed before.
     Given a leader of 3 in-memory upstreams that can crash
--- a/features/steps/crashes.py
+++ b/features/steps/crashes.py
@@ -10,6 +10,7 @@
 from behave import given, then, when
 from behave.runner import Context
 from support.upstreams import (
+    WAIT_LIMIT_S,
     CrashingUpstream,
     EndlessConnector,
     describe_upstreams,
@@ -170,6 +171,38 @@
     assert not context.suspect
 
 
+@when("an upstream is silent under a task until its job is answered")
+def fall_silent(context: Context) -> None:
+    anyio.run(run_after_silence, context)
+
+
+async def run_after_silence(context: Context) -> None:
+    """Let the only upstream be silent while a job runs, and submit another one afterwards."""
+    upstream = context.upstreams["u0"]
+    async with lead(context) as scheduler:
+        async with anyio.create_task_group() as group:
+            group.start_soon(submit, context, scheduler, CRASHING_JOB)
+            await wait_until(lambda: upstream.running)
+            upstream.silent = True
+            await anyio.sleep(LONGER_THAN_LEASE_S)
+            group.cancel_scope.cancel()
+        upstream.running.clear()
+        upstream.silent = False
+        async with anyio.create_task_group() as group:
+            group.start_soon(submit, context, scheduler, OTHER_JOB)
+            with anyio.move_on_after(WAIT_LIMIT_S):
+                await wait_until(lambda: upstream.running or OTHER_JOB.id in context.answers)
+            if upstream.running:
+                upstream.end_run()
+            else:
+                group.cancel_scope.cancel()
+
+
+@then("a further job is answered as succeeded")
+def check_further(context: Context) -> None:
+    assert context.answers.get(OTHER_JOB.id) == Succeeded(), context.answers
+
+
 @when("a job of 2 tasks is placed on two upstreams that have crashed, and then on the next one")
 def place_on_crashed(context: Context) -> None:
     anyio.run(run_on_crashed, context)
--- a/packages/execution/src/fireflybridge_execution/_session.py
+++ b/packages/execution/src/fireflybridge_execution/_session.py
@@ -45,6 +45,7 @@
 HOLD_TIMEOUT_MARGIN_S = 0.2  # round trip to an upstream under load
 COMMAND_TIMEOUT_S = 0.2
 RETRY_S = 0.05
+IDLE_RETRY_S = 0.25  # while nothing runs on an upstream that doesn't reply
 ADOPTION_WAIT_S = 0.5  # time for the resubmission of jobs after a change of leader
 NO_CAPACITY_BACKOFF_S = 0.03
 COMMAND_CONNECTIONS = 3
@@ -174,7 +175,7 @@
 
     async def _wait_for_run(self) -> None:
         """Wait while there is no run; return after a delay if ended runs are not yet acknowledged."""
-        if self.synced and self.runs.is_empty:
+        if self.synced and self.runs.is_empty and not self._unresponsive:
             self._run_added = anyio.Event()
             unacknowledged = self._acknowledged > self._acknowledgement_sent
             with anyio.move_on_after(ACKNOWLEDGEMENT_DELAY_S if unacknowledged else None):
@@ -190,7 +191,7 @@
             reply = await connection.hold(hold, wait_ms / 1000 + HOLD_TIMEOUT_MARGIN_S)
         except ExchangeError as error:
             self._handle_hold_error(error)
-            await anyio.sleep(RETRY_S)
+            await anyio.sleep(IDLE_RETRY_S if self.synced and self.runs.is_empty else RETRY_S)
             return
         match reply:
             case RunReport():
