Test that a capacity that shrinks and grows again bounds the starts

The directory's newest entry already counts with the runs under way, so the scenario passes on this code: with two runs on an upstream that shrank to one, a third task isn't started when one ends, and is once the room is back.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -73,6 +73,13 @@
     Then each upstream runs two of them
     And a further job is refused until one of the runs ends
 
+  Scenario: An upstream's capacity that shrinks and grows again bounds the starts there
+    # Guards against starts beyond the capacity of an upstream that shrank while tasks ran.
+    Given a leader of 1 in-memory upstreams with room for two tasks each
+    When its capacity shrinks to one task while two run and a third one waits
+    Then the third isn't started when one of them has ended
+    And it is started when the capacity has grown again
+
   Scenario: A job of short tasks precedes a job of long ones received slightly earlier
     Then a job with a critical path of 50 ms precedes one of 760 ms received 100 ms earlier
     And a job with a critical path of 760 ms precedes one of 50 ms received 500 ms later
--- a/features/steps/free_upstreams.py
+++ b/features/steps/free_upstreams.py
@@ -2,6 +2,8 @@
 
 import time
 from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from dataclasses import replace
 from math import inf
 
@@ -11,10 +13,28 @@
 from hypothesis import given as for_all
 from hypothesis import strategies
 from support.hypothesis_settings import deterministic_settings
-from support.upstreams import NEEDS, EndlessConnector, describe_upstreams, make_job, wait_until
+from support.upstreams import (
+    CAPACITY,
+    NEEDS,
+    WAIT_LIMIT_S,
+    EndlessConnector,
+    EndlessUpstream,
+    describe_upstreams,
+    make_job,
+    wait_until,
+)
 
-from fireflybridge_execution import DirectoryView, Scheduler
-from fireflybridge_jobs import Answer, Job, NotRun, Resources, Succeeded
+from fireflybridge_execution import Accepted, DirectoryView, Scheduler, Stop
+from fireflybridge_jobs import (
+    Answer,
+    EarlierRuns,
+    Job,
+    NotRun,
+    Resources,
+    RunningRun,
+    Succeeded,
+    TaskId,
+)
 from fireflybridge_placement import (
     TaskRequirements,
     UpstreamCandidate,
@@ -23,6 +43,7 @@
 )
 
 EXAMPLES = 300
+PLACEMENT_WAIT_S = 0.15  # several passes of the placement
 
 _resources = strategies.builds(
     Resources, strategies.sampled_from((0, 2400, 9200, 16000, 24000)), strategies.just(65536)
@@ -158,3 +179,102 @@
     refused, succeeded = context.answers
     assert isinstance(refused, NotRun), refused
     assert succeeded == Succeeded(), succeeded
+
+
+class SlowUpstream(EndlessUpstream):
+    """An endless upstream that counts the stops, which take effect when a test says so."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.stops = 0
+
+    async def stop(self, command: Stop, timeout_s: float) -> Accepted:
+        """Count the stop."""
+        self.stops += 1
+        return await super().stop(command, timeout_s)
+
+
+@asynccontextmanager
+async def lead_one(context: Context) -> AsyncIterator[Scheduler]:
+    """Run a scheduler that leads the upstream of the scenario."""
+    context.connector = EndlessConnector()
+    context.upstream = context.connector.upstreams["u0"] = SlowUpstream()
+    scheduler = Scheduler(context.connector, lambda _event: None, lambda: None)
+    async with anyio.create_task_group() as group:
+        group.start_soon(scheduler.serve)
+        scheduler.lead({"z1": 1000})
+        set_capacity(context, scheduler, CAPACITY)
+        yield scheduler
+        group.cancel_scope.cancel()
+
+
+def set_capacity(context: Context, scheduler: Scheduler, capacity: Resources) -> None:
+    infos = {name: replace(info, capacity=capacity) for name, info in context.infos.items()}
+    scheduler.set_upstreams(DirectoryView(infos, time.monotonic()))
+
+
+async def submit_waiting(scheduler: Scheduler, job: Job) -> None:
+    # A job that may have run already isn't refused for lack of room.
+    await scheduler.submit(job, 0.0, EarlierRuns())
+
+
+@when("its capacity shrinks to one task while two run and a third one waits")
+def shrink(context: Context) -> None:
+    anyio.run(run_shrinking, context)
+
+
+async def run_shrinking(context: Context) -> None:
+    """Shrink the capacity under two runs, end one of them, and grow it again."""
+    async with lead_one(context) as scheduler, anyio.create_task_group() as group:
+        upstream = context.upstream
+        group.start_soon(submit_waiting, scheduler, make_job("a", 2))
+        await wait_until(lambda: upstream.starts == 2)
+        set_capacity(context, scheduler, replace(CAPACITY, cpu_millicores=NEEDS.cpu_millicores))
+        group.start_soon(submit_waiting, scheduler, make_job("b", 1))
+        await anyio.sleep(PLACEMENT_WAIT_S)
+        upstream.end_run()
+        await wait_until(lambda: upstream.acknowledged == 1)
+        await anyio.sleep(PLACEMENT_WAIT_S)
+        context.starts_shrunk = upstream.starts
+        set_capacity(context, scheduler, CAPACITY)
+        with anyio.move_on_after(WAIT_LIMIT_S):
+            await wait_until(lambda: upstream.starts == 3)
+        context.starts_grown = upstream.starts
+        group.cancel_scope.cancel()
+
+
+@then("the third isn't started when one of them has ended")
+def check_shrunk(context: Context) -> None:
+    assert context.starts_shrunk == 2, context.starts_shrunk
+
+
+@then("it is started when the capacity has grown again")
+def check_grown(context: Context) -> None:
+    assert context.starts_grown == 3, context.starts_grown
+
+
+@when("it stops the run of an earlier leader while a job waits")
+def stop_orphan(context: Context) -> None:
+    anyio.run(run_beside_orphan, context)
+
+
+async def run_beside_orphan(context: Context) -> None:
+    """Submit a job while an earlier leader's run is being stopped, then let that run end."""
+    async with lead_one(context) as scheduler, anyio.create_task_group() as group:
+        upstream = context.upstream
+        upstream.running.append(RunningRun(TaskId("e" * 16, 0, 0, 0), 1, 50))
+        group.start_soon(submit_waiting, scheduler, make_job("a", 1))
+        await wait_until(lambda: upstream.stops)
+        await anyio.sleep(PLACEMENT_WAIT_S)
+        context.starts_beside = upstream.starts
+        upstream.end_run()
+        with anyio.move_on_after(WAIT_LIMIT_S):
+            await wait_until(lambda: upstream.starts)
+        context.starts_after = upstream.starts
+        group.cancel_scope.cancel()
+
+
+@then("the waiting job is started once that run has ended")
+def check_beside_orphan(context: Context) -> None:
+    assert context.starts_beside == 0, context.starts_beside
+    assert context.starts_after == 1, context.starts_after
