Start nothing beside runs of an earlier leader that are being stopped

After a change of the leader, a run whose job wasn't submitted again is stopped. While the stop was under way, the new leader counted no resources for the run, as its needs aren't known there, and could start other tasks beside it.

Such a run is now exclusive: nothing is started beside it until its end is listed. The new scenario of decisions.feature failed before with one start too early.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -80,6 +80,12 @@
     Then the third isn't started when one of them has ended
     And it is started when the capacity has grown again
 
+  Scenario: A run that is being stopped for an earlier leader leaves no room for others
+    # Guards against a start beside runs of unknown size on an upstream that doesn't guard its capacity.
+    Given a leader of 1 in-memory upstreams with room for two tasks each
+    When it stops the run of an earlier leader while a job waits
+    Then the waiting job is started once that run has ended
+
   Scenario: A job of short tasks precedes a job of long ones received slightly earlier
     Then a job with a critical path of 50 ms precedes one of 760 ms received 100 ms earlier
     And a job with a critical path of 760 ms precedes one of 50 ms received 500 ms later
--- a/packages/execution/src/fireflybridge_execution/_session.py
+++ b/packages/execution/src/fireflybridge_execution/_session.py
@@ -307,7 +307,10 @@
             self.runs.add_orphan(OrphanedRun(found, now_s + ADOPTION_WAIT_S))
             self._run_added.set()
         elif now_s >= orphan.stop_after_s:
-            self._adopt(Run(*key, "", Resources(), RunPhase.STOPPING, now_s, started=True))
+            # Nothing is started beside it, as its needs aren't known here.
+            stopping = RunPhase.STOPPING
+            run = Run(*key, "", Resources(), stopping, now_s, started=True, exclusive=True)
+            self._adopt(run)
             self._queue_sender.send_nowait(key)
 
     def _adopt(self, run: Run) -> None:
