--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -73,6 +73,19 @@
     Then each upstream runs two of them
     And a further job is refused until one of the runs ends
 
+  Scenario: An upstream's capacity that shrinks and grows again bounds the starts there
+    # Guards against starts beyond the capacity of an upstream that shrank while tasks ran.
+    Given a leader of 1 in-memory upstreams with room for two tasks each
+    When its capacity shrinks to one task while two run and a third one waits
+    Then the third isn't started when one of them has ended
+    And it is started when the capacity has grown again
+
+  Scenario: A run that is being stopped for an earlier leader leaves no room for others
+    # Guards against a start beside runs of unknown size on an upstream that doesn't guard its capacity.
+    Given a leader of 1 in-memory upstreams with room for two tasks each
+    When it stops the run of an earlier leader while a job waits
+    Then the waiting job is started once that run has ended
+
   Scenario: A job of short tasks precedes a job of long ones received slightly earlier
     Then a job with a critical path of 50 ms precedes one of 760 ms received 100 ms earlier
     And a job with a critical path of 760 ms precedes one of 50 ms received 500 ms later
@@ -271,3 +284,57 @@
     # Guards against 0.6 s of jobs that are refused or given up (incident inc1, 32.8 and 73.4 s).
     When it hears of a newer term while its own append gets no answer
     Then it no longer submits its callers' jobs to itself
+
+  Scenario Outline: A task is given up after two crashes if it ran alone, or after three
+    Then a task is <verdict> after <crashes> crashes, <alone> of them while it ran alone
+
+    Examples:
+      | crashes | alone | verdict  |
+      | 1       | 1     | kept     |
+      | 2       | 0     | kept     |
+      | 2       | 1     | given up |
+      | 3       | 0     | given up |
+
+  Scenario: A task that crashes upstreams is given up, and one that ran beside it isn't
+    # Guards against a task that crashes one upstream after another (issue 26).
+    Given a leader of 3 in-memory upstreams that can crash
+    When a task crashes the upstream on which another job's task runs, and then the next one
+    Then each of them ran alone after the first crash
+    And the job whose task crashes upstreams is answered as failed after 2 starts
+    And the other job is answered as succeeded
+
+  Scenario Outline: A run that is lost without a crash doesn't count against its task
+    # Guards against a job that is given up after cuts, freezes or planned departures.
+    Given a leader of 3 in-memory upstreams that can crash
+    When an upstream <event> under a task, and then the next one
+    Then the job is answered as succeeded, and its task isn't suspected
+
+    Examples:
+      | event                            |
+      | is silent                        |
+      | refuses connections for a moment |
+      | leaves after a drain             |
+
+  Scenario: An upstream that was silent for longer than its lease is used again
+    # Guards against an upstream that gets no more work from its leader after a cut.
+    Given a leader of 1 in-memory upstreams that can crash
+    When an upstream is silent under a task until its job is answered
+    Then a further job is answered as succeeded
+
+  Scenario: Starts that crashed upstreams refuse don't count against their tasks
+    # Guards against a job that is given up since it was placed on upstreams that had crashed before.
+    Given a leader of 3 in-memory upstreams that can crash
+    When a job of 2 tasks is placed on two upstreams that have crashed, and then on the next one
+    Then the job is answered as succeeded, and its task isn't suspected
+
+  Scenario: A job that was given up starts nothing when it is submitted again
+    Given a leader of 3 in-memory upstreams that can crash
+    When two upstreams crash under a task and its job is submitted again
+    Then the job whose task crashes upstreams is answered as failed after 2 starts
+
+  Scenario: A host that replaces its leader knows which tasks crash upstreams
+    # Guards against a new leader that starts such a task as if nothing was known of it (issue 26).
+    Given a leader of 3 in-memory upstreams that can crash
+    When two upstreams crash under a task and its job is submitted again
+    And it has replied to a heartbeat of a host, which then leads and gets the job
+    Then the job whose task crashes upstreams is answered as failed after 2 starts
--- a/packages/execution/src/fireflybridge_execution/_session.py
+++ b/packages/execution/src/fireflybridge_execution/_session.py
@@ -1,7 +1,7 @@
 """Session with one upstream: its runs, its lease and the connections for commands."""
 
 import time
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import replace
 
 import anyio
@@ -18,6 +18,7 @@
     Start,
     Stop,
 )
+from fireflybridge_execution._events import CrashSign, UpstreamCrashed
 from fireflybridge_execution._live_runs import LiveRuns
 from fireflybridge_execution._run_listener import RunListener
 from fireflybridge_execution._run_registry import OrphanedRun, Run, RunKey, RunPhase, RunRegistry
@@ -44,6 +45,7 @@
 HOLD_TIMEOUT_MARGIN_S = 0.2  # round trip to an upstream under load
 COMMAND_TIMEOUT_S = 0.2
 RETRY_S = 0.05
+IDLE_RETRY_S = 0.25  # while nothing runs on an upstream that doesn't reply
 ADOPTION_WAIT_S = 0.5  # time for the resubmission of jobs after a change of leader
 NO_CAPACITY_BACKOFF_S = 0.03
 COMMAND_CONNECTIONS = 3
@@ -78,6 +80,9 @@
         self._acknowledgement_sent = 0
         self._lease_end_s = 0.0
         self._unresponsive = False
+        self._crash_reported = False
+        self._lost_in_silence: tuple[RunKey, ...] = ()
+        """Runs that a crash may have ended, which shows once the upstream replies again."""
         self._full_until_s = 0.0
         self._run_added = anyio.Event()
         self._queue_sender, self._queue_receiver = anyio.create_memory_object_stream[RunKey](
@@ -98,6 +103,7 @@
             and self.info.state is UpstreamState.READY
             and now_s >= self._full_until_s
             and not self.runs.has_orphans
+            and not self.runs.has_exclusive
             and self.health.admits(now_s, len(self.runs))
         )
 
@@ -114,9 +120,12 @@
     def _report_availability(self) -> None:
         self._listener.availability_changed(self.info.id)
 
-    def start(self, task: TaskId, number: int, spec: str, needs: Resources) -> None:
+    def start(
+        self, task: TaskId, number: int, spec: str, needs: Resources, *, exclusive: bool = False
+    ) -> None:
         """Queue the start of a run; the listener is called with the result."""
-        run = Run(task, number, spec, needs, RunPhase.QUEUED, time.monotonic())
+        now_s = time.monotonic()
+        run = Run(task, number, spec, needs, RunPhase.QUEUED, now_s, exclusive=exclusive)
         self.runs.add(run)
         self._run_added.set()
         self._queue_sender.send_nowait(run.key)
@@ -170,7 +179,7 @@
 
     async def _wait_for_run(self) -> None:
         """Wait while there is no run; return after a delay if ended runs are not yet acknowledged."""
-        if self.synced and self.runs.is_empty:
+        if self.synced and self.runs.is_empty and not self._unresponsive:
             self._run_added = anyio.Event()
             unacknowledged = self._acknowledged > self._acknowledgement_sent
             with anyio.move_on_after(ACKNOWLEDGEMENT_DELAY_S if unacknowledged else None):
@@ -187,7 +196,7 @@
         except ExchangeError as error:
             self.asked = True
             self._handle_hold_error(error)
-            await anyio.sleep(RETRY_S)
+            await anyio.sleep(IDLE_RETRY_S if self.synced and self.runs.is_empty else RETRY_S)
             return
         self.asked = True
         match reply:
@@ -220,7 +229,11 @@
             self._unresponsive = False
             self._report_availability()
         if report.incarnation != self._incarnation:
-            self._begin_incarnation(report.incarnation)
+            self._begin_incarnation(report)
+        elif self._crash_reported:
+            self._listener.upstream_survived(self.info.id, self._incarnation)
+        self._crash_reported = False
+        self._lost_in_silence = ()
         self._clock = RemoteClock(report.clock_ms, now_s)
         for ended in report.ended:
             self._handle_ended_run(ended, now_s)
@@ -246,11 +259,14 @@
             if run is not None and run.phase is RunPhase.RUNNING:
                 self._listener.run_progressed(self.info.id, run, found.percent)
 
-    def _begin_incarnation(self, incarnation: int) -> None:
+    def _begin_incarnation(self, report: RunReport) -> None:
         if self._incarnation:
+            running = {(run.task, run.number) for run in report.running}
+            ended = {(run.task, run.number) for run in report.ended}
+            self.report_crash(CrashSign.RESTARTED, started_since=running | ended)
             self._remove_lost(self.runs.list_runs())
             self._replace_health(Health(), "the upstream has restarted")
-        self._incarnation = incarnation
+        self._incarnation = report.incarnation
         self._acknowledged = 0
         self._acknowledgement_sent = 0
         self.runs.remove_orphans(orphan.key for orphan in self.runs.list_orphans())
@@ -291,13 +307,14 @@
         needs = self._listener.orphan_found(self.info.id, found)
         orphan = self.runs.find_orphan(key)
         if needs is not None:
-            self._adopt(Run(*key, "", needs, RunPhase.RUNNING, now_s, now_s))
+            self._adopt(Run(*key, "", needs, RunPhase.RUNNING, now_s, now_s, started=True))
         elif orphan is None:
             self.runs.add_orphan(OrphanedRun(found, now_s + ADOPTION_WAIT_S))
             self._run_added.set()
         elif now_s >= orphan.stop_after_s:
             # It stays an orphan, so that its lease isn't extended while the stop may be lost.
-            self.runs.add(Run(*key, "", Resources(), RunPhase.STOPPING, now_s))
+            stopping = RunPhase.STOPPING
+            self.runs.add(Run(*key, "", Resources(), stopping, now_s, started=True))
             self._queue_sender.send_nowait(key)
 
     def _adopt(self, run: Run) -> None:
@@ -305,6 +322,21 @@
         self.runs.remove_orphans((run.key,))
         self._run_added.set()
 
+    def report_crash(self, sign: CrashSign, started_since: Collection[RunKey] = ()) -> None:
+        """Report, once for each crash, the runs that were under way when the upstream crashed.
+
+        Those in ``started_since`` have started after it. An upstream that was draining has left as
+        planned, and its end says nothing of its runs.
+        """
+        if self._crash_reported or self.info.state is UpstreamState.DRAINING:
+            return
+        self._crash_reported = True
+        present = dict.fromkeys((*self.runs.list_started(), *self._lost_in_silence))
+        runs = tuple(key for key in present if key not in started_since)
+        if runs:
+            crashed = UpstreamCrashed(self.info.id, self._incarnation, sign, runs)
+            self._listener.upstream_crashed(crashed)
+
     def _remove_lost(self, runs: Iterable[Run]) -> None:
         for run in runs:
             self.runs.remove(run.key)
@@ -322,17 +354,22 @@
 
     def _handle_call_error(self, error: ExchangeError) -> None:
         self._eject(str(error))
+        if error.refused and not self.runs.is_starting:
+            # Otherwise the next call to be refused reports it.
+            self.report_crash(CrashSign.REFUSED)
         self._set_unresponsive()
 
     def _set_unresponsive(self) -> None:
         self._unresponsive = True
         self._report_availability()
         if time.monotonic() > self._lease_end_s:
+            self._lost_in_silence += self.runs.list_started()
             self._remove_lost(self.runs.list_runs())
 
     def _handle_rejection(self, reason: RejectionReason) -> None:
         self._eject(reason)
         if reason is RejectionReason.OTHER_INCARNATION:
+            self.report_crash(CrashSign.REPLACED)
             self._remove_lost(self.runs.list_runs())
             self._clock = None
             self._incarnation = 0
@@ -392,14 +429,17 @@
         try:
             reply = await connection.start(command, COMMAND_TIMEOUT_S)
         except ExchangeError as error:
-            self._handle_call_error(error)
-            if error.may_have_run:
-                self.stop(run.task, run.number)
-            else:
+            if not error.may_have_run:
                 self._withdraw(run, None)
+            elif not error.timed_out:
+                # The upstream has ended the connection, maybe due to this start.
+                self._mark_started(run)
+            self._handle_call_error(error)
+            self.stop(run.task, run.number)
             return
         match reply:
             case Accepted():
+                self._mark_started(run)
                 self._confirm(run)
                 self._listener.run_accepted(self.info.id, run)
             case Rejected(reason=RejectionReason.FENCE):
@@ -449,6 +489,11 @@
         phase = RunPhase.RUNNING if run.phase is RunPhase.STARTING else run.phase
         self.runs.update(replace(current, phase=phase, confirmed_s=time.monotonic()))
 
+    def _mark_started(self, run: Run) -> None:
+        current = self.runs.find(run.key)
+        if current is not None:
+            self.runs.update(replace(current, started=True))
+
     def _withdraw(self, run: Run, reason: RejectionReason | None) -> None:
         if self.runs.remove(run.key) is not None:
             self._listener.run_not_started(self.info.id, run, reason)
