--- a/features/steps/peak_load.py
+++ b/features/steps/peak_load.py
@@ -14,7 +14,9 @@
     ]
 
 
-@then("of each kind the largest tenth and the fifth below it are served at least half as often as all")
+@then(
+    "of each kind the largest tenth and the fifth below it are served at least half as often as all"
+)
 def check_sizes(context: Context) -> None:
     for kind in KINDS:
         jobs = [job for job in context.played if job.kind is kind]
