Give a task up only for crashes that a new start of the upstream confirms

A refused connection doesn't tell a crash from a cut. Such a crash now counts for holding the task back, which keeps it from taking down one upstream after another, and the job is answered as failed only once the upstreams report a new start; if they report the old one, the task goes on. The word travels with the crash between hosts.

"A task is held back while it isn't known whether its upstreams have crashed" failed before (answered as failed). Steps of the older scenarios let the crashed upstreams start again before they expect the failure.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -306,6 +306,14 @@
       | 2       | 1     | given up |
       | 3       | 0     | given up |
 
+  Scenario: A task is held back while it isn't known whether its upstreams have crashed
+    # Guards against a job that is answered as failed since a cut has refused connections (hunt ef6003ad).
+    Then a task is held back, but not given up, after 2 crashes that aren't confirmed
+    Given a leader of 3 in-memory upstreams that can crash
+    When two upstreams in turn refuse connections under a task for longer than their lease
+    Then the task isn't started a third time before they reply, nor its job answered
+    And the job is answered as succeeded, and its task isn't suspected
+
   Scenario: A task that crashes upstreams is given up, and one that ran beside it isn't
     # Guards against a task that crashes one upstream after another (issue 26).
     Given a leader of 3 in-memory upstreams that can crash
--- a/features/steps/crashes.py
+++ b/features/steps/crashes.py
@@ -23,7 +23,7 @@
 from fireflybridge_http import Connection, Request, Response
 from fireflybridge_jobs import Crash, Failed, Job, Succeeded, TaskId, UpstreamState
 from fireflybridge_leadership import Holder, Leadership, Term
-from fireflybridge_placement import CrashHistory, should_give_up
+from fireflybridge_placement import CrashHistory, should_give_up, should_hold_back
 
 CRASHING_JOB = make_job("a", 1)
 OTHER_JOB = make_job("b", 1)
@@ -33,8 +33,8 @@
 SHORTER_THAN_LEASE_S = 0.2
 
 
-def make_crash(index: int, *, alone: bool) -> Crash:
-    return Crash(TASK, f"u{index}", 1, alone)
+def make_crash(index: int, *, alone: bool, confirmed: bool = True) -> Crash:
+    return Crash(TASK, f"u{index}", 1, alone, confirmed)
 
 
 @then("a task is {verdict} after {crashes:d} crashes, {alone:d} of them while it ran alone")
@@ -43,6 +43,13 @@
     assert should_give_up(found) is (verdict == "given up"), found
 
 
+@then("a task is held back, but not given up, after {crashes:d} crashes that aren't confirmed")
+def check_held_back(context: Context, crashes: int) -> None:
+    found = [make_crash(index, alone=True, confirmed=False) for index in range(crashes)]
+    assert should_hold_back(found), found
+    assert not should_give_up(found), found
+
+
 @given("a leader of {count:d} in-memory upstreams that can crash")
 def given_leader(context: Context, count: int) -> None:
     context.infos = describe_upstreams(count)
@@ -104,6 +111,10 @@
         context.second = await wait_for_run(context, CRASHING_JOB, 2)
         context.other = await wait_for_run(context, OTHER_JOB, 2)
         context.upstreams[context.second].crash()
+        await anyio.sleep(SHORTER_THAN_LEASE_S)
+        assert CRASHING_JOB.id not in context.answers, context.answers
+        context.upstreams[first].restart()
+        context.upstreams[context.second].restart()
         await wait_until(lambda: CRASHING_JOB.id in context.answers)
         context.upstreams[context.other].end_run()
         await wait_until(lambda: OTHER_JOB.id in context.answers)
@@ -140,7 +151,14 @@
             await wait_until(lambda: find_upstream(context, CRASHING_JOB))
         context.upstreams[find_upstream(context, CRASHING_JOB)].end_run()
         await wait_until(lambda: context.answers)
-        context.suspect = context.crashes.is_suspect(TASK)
+        context.suspect = await stays_suspect(context)
+
+
+async def stays_suspect(context: Context) -> bool:
+    """Return whether the task is still suspected after every upstream has had time to reply."""
+    with anyio.move_on_after(WAIT_LIMIT_S):
+        await wait_until(lambda: not context.crashes.is_suspect(TASK))
+    return context.crashes.is_suspect(TASK)
 
 
 async def disturb(context: Context, scheduler: Scheduler, name: str, event: str) -> None:
@@ -165,6 +183,36 @@
             raise ValueError(event)
 
 
+@when("two upstreams in turn refuse connections under a task for longer than their lease")
+def refuse_twice(context: Context) -> None:
+    anyio.run(run_and_refuse_twice, context)
+
+
+async def run_and_refuse_twice(context: Context) -> None:
+    """Refuse connections under a task as a cut may, and accept them again much later."""
+    async with lead(context) as scheduler, anyio.create_task_group() as group:
+        group.start_soon(submit, context, scheduler, CRASHING_JOB)
+        for starts in (1, 2):
+            name = await wait_for_run(context, CRASHING_JOB, starts)
+            context.upstreams[name].refuses = True
+            await anyio.sleep(LONGER_THAN_LEASE_S)
+            context.upstreams[name].running.clear()
+        context.starts = count_starts(context, CRASHING_JOB)
+        context.early_answers = dict(context.answers)
+        for upstream in context.upstreams.values():
+            upstream.restart()
+        await wait_for_run(context, CRASHING_JOB, 3)
+        context.upstreams[find_upstream(context, CRASHING_JOB)].end_run()
+        await wait_until(lambda: context.answers)
+        context.suspect = await stays_suspect(context)
+
+
+@then("the task isn't started a third time before they reply, nor its job answered")
+def check_held(context: Context) -> None:
+    assert context.starts == 2, context.starts
+    assert not context.early_answers, context.early_answers
+
+
 @then("the job is answered as succeeded, and its task isn't suspected")
 def check_not_suspected(context: Context) -> None:
     assert context.answers[CRASHING_JOB.id] == Succeeded(), context.answers
@@ -242,6 +290,9 @@
             for starts in (1, 2):
                 name = await wait_for_run(context, CRASHING_JOB, starts)
                 context.upstreams[name].crash()
+            await anyio.sleep(SHORTER_THAN_LEASE_S)
+            for upstream in context.upstreams.values():
+                upstream.restart()
         context.answers.clear()
         await submit(context, scheduler, CRASHING_JOB)
 
@@ -268,7 +319,5 @@
     with mock.patch.object(Connection, "exchange", exchange):
         assert await monitor.probe(holder)
     context.answers.clear()
-    for upstream in context.upstreams.values():
-        upstream.refuses = False
     async with lead(context) as scheduler:
         await submit(context, scheduler, CRASHING_JOB)
--- a/features/support/upstreams.py
+++ b/features/support/upstreams.py
@@ -96,6 +96,10 @@
         self.refuses = True
         self.incarnation += 1
 
+    def restart(self) -> None:
+        """Accept connections again after a crash."""
+        self.refuses = False
+
     async def _check_reachable(self) -> None:
         if self.refuses:
             await anyio.sleep(REFUSAL_S)
--- a/packages/execution/src/fireflybridge_execution/_placer.py
+++ b/packages/execution/src/fireflybridge_execution/_placer.py
@@ -56,7 +56,11 @@
 
     def place(self, active: ActiveJob, now_s: float) -> tuple[Placement, ...]:
         """Place as many waiting tasks of a job as fit."""
-        tasks = [task for task in active.waiting if task not in self._sessions.live_runs]
+        tasks = [
+            task
+            for task in active.waiting
+            if task not in self._sessions.live_runs and not self._crashes.holds_back(task)
+        ]
         placed = (self._place_task(active, task, now_s) for task in tasks)
         return tuple(placement for placement in placed if placement is not None)
 
--- a/packages/execution/src/fireflybridge_execution/_scheduler.py
+++ b/packages/execution/src/fireflybridge_execution/_scheduler.py
@@ -1,7 +1,7 @@
 """Scheduler of a leader: queues jobs, places their tasks and answers the submissions."""
 
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 import anyio
 
@@ -9,6 +9,7 @@
 from fireflybridge_execution._commands import CommandConnector, RejectionReason
 from fireflybridge_execution._directory import DirectoryView
 from fireflybridge_execution._events import (
+    CrashSign,
     ExecutionEvent,
     JobEnded,
     JobReceived,
@@ -447,17 +448,26 @@
         """Record the crash for the tasks that ran there, and give up those that may cause crashes."""
         self._on_event(crashed)
         jobs = {task.job for task, _ in crashed.runs}
+        alone = len(jobs) == 1
+        confirmed = crashed.sign is not CrashSign.REFUSED
         for task, _ in crashed.runs:
             self._crashes.record(
-                Crash(task, crashed.upstream, crashed.incarnation, alone=len(jobs) == 1)
+                Crash(task, crashed.upstream, crashed.incarnation, alone, confirmed)
             )
-        for active in filter(None, map(self._jobs.get, jobs)):
-            self._give_up_if_crashing(active)
+        self._give_up_crashing(jobs)
+
+    def crash_confirmed(self, upstream: str, incarnation: int) -> None:
+        """Give up tasks that were held back until it was known whether the upstream has crashed."""
+        self._give_up_crashing(self._crashes.confirm(upstream, incarnation))
 
     def upstream_survived(self, upstream: str, incarnation: int) -> None:
         """Retract the crash of an upstream that couldn't be reached."""
         self._crashes.retract(upstream, incarnation)
 
+    def _give_up_crashing(self, jobs: Iterable[str]) -> None:
+        for active in filter(None, map(self._jobs.get, jobs)):
+            self._give_up_if_crashing(active)
+
     def _give_up_if_crashing(self, active: ActiveJob) -> None:
         if self._crashes.has_given_up(active.job.id):
             active.set_answer(Failed("a task crashes the upstreams that start it"))
--- a/packages/execution/src/fireflybridge_execution/_session.py
+++ b/packages/execution/src/fireflybridge_execution/_session.py
@@ -328,7 +328,11 @@
         Those in ``started_since`` have started after it. An upstream that was draining has left as
         planned, and its end says nothing of its runs.
         """
-        if self._crash_reported or self.info.state is UpstreamState.DRAINING:
+        if self._crash_reported:
+            if sign is not CrashSign.REFUSED:
+                self._listener.crash_confirmed(self.info.id, self._incarnation)
+            return
+        if self.info.state is UpstreamState.DRAINING:
             return
         self._crash_reported = True
         present = dict.fromkeys((*self.runs.list_started(), *self._lost_in_silence))
--- a/packages/execution/src/fireflybridge_execution/_session_manager.py
+++ b/packages/execution/src/fireflybridge_execution/_session_manager.py
@@ -201,6 +201,7 @@
         try:
             await session.serve()
         except Exception as error:
+            session.asked = True
             self._listener.session_failed(session.info.id, error)
             await anyio.sleep(RESTART_DELAY_S)
             if self.find(session.info.id) is session:
--- a/packages/jobs/src/fireflybridge_jobs/_runs.py
+++ b/packages/jobs/src/fireflybridge_jobs/_runs.py
@@ -51,10 +51,12 @@
 class Crash:
     """The crash of an upstream while a task ran on it.
 
-    ``alone`` is whether all tasks that ran there belong to one job.
+    ``alone`` is whether all tasks that ran there belong to one job, ``confirmed`` whether the
+    upstream has started anew since. Until then it may only be unreachable.
     """
 
     task: TaskId
     upstream: str
     incarnation: int
     alone: bool
+    confirmed: bool
--- a/packages/placement/src/fireflybridge_placement/__init__.py
+++ b/packages/placement/src/fireflybridge_placement/__init__.py
@@ -2,7 +2,11 @@
 
 from fireflybridge_placement._admission import RETRY_AFTER_S, compute_refusal_time
 from fireflybridge_placement._choice import TaskRequirements, UpstreamCandidate, choose_upstream
-from fireflybridge_placement._crashes import CrashHistory, should_give_up
+from fireflybridge_placement._crashes import (
+    CrashHistory,
+    should_give_up,
+    should_hold_back,
+)
 from fireflybridge_placement._estimates import WorkEstimator
 from fireflybridge_placement._health import (
     Health,
@@ -43,5 +47,6 @@
     "record_success",
     "select_missed_limits",
     "should_give_up",
+    "should_hold_back",
     "should_move",
 ]
--- a/packages/placement/src/fireflybridge_placement/_crashes.py
+++ b/packages/placement/src/fireflybridge_placement/_crashes.py
@@ -1,9 +1,9 @@
-"""Tasks under which upstreams have crashed, and when such a task is given up."""
+"""Tasks under which upstreams have crashed, and when such a task is held back or given up."""
 
 import time
 from collections import deque
 from collections.abc import Collection
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from fireflybridge_jobs import Crash, TaskId
 
@@ -14,10 +14,15 @@
 
 
 def should_give_up(crashes: Collection[Crash]) -> bool:
-    """Return whether a task is to be started no more.
+    """Return whether a task is to be started no more, and its job has failed."""
+    return should_hold_back([crash for crash in crashes if crash.confirmed])
 
-    A task that ran beside the cause of one crash or even two isn't to blame for them, so a crash
-    while it ran alone counts for more.
+
+def should_hold_back(crashes: Collection[Crash]) -> bool:
+    """Return whether a task isn't to be started until it is known which upstreams have crashed.
+
+    A cut may refuse connections as well. A task that ran beside the cause of one crash or even two
+    isn't to blame for them, so a crash while it ran alone counts for more.
     """
     if any(crash.alone for crash in crashes):
         return len(crashes) >= CRASHES_ALONE_TO_GIVE_UP
@@ -44,31 +49,41 @@
         self._by_job: dict[str, dict[TaskId, list[Crash]]] = {}
 
     def record(self, crash: Crash) -> None:
-        """Add a crash unless it is known."""
-        now_s = time.monotonic()
-        while self._recorded and self._recorded[0].recorded_s < now_s - RETENTION_S:
-            self._remove(self._recorded.popleft().crash)
-        crashes = self._by_job.setdefault(crash.task.job, {}).setdefault(crash.task, [])
-        known = {(other.upstream, other.incarnation) for other in crashes}
-        if (crash.upstream, crash.incarnation) not in known:
-            crashes.append(crash)
-            self._recorded.append(_RecordedCrash(crash, now_s))
+        """Add a crash unless it is known, or known and confirmed in the meantime."""
+        self._forget_old()
+        crashes = self._by_job.get(crash.task.job, {}).get(crash.task, [])
+        same = [
+            known
+            for known in crashes
+            if (known.upstream, known.incarnation) == (crash.upstream, crash.incarnation)
+        ]
+        if any(known.confirmed or not crash.confirmed for known in same):
+            return
+        for known in same:
+            self._drop(known)
+        self._by_job.setdefault(crash.task.job, {}).setdefault(crash.task, []).append(crash)
+        self._recorded.append(_RecordedCrash(crash, time.monotonic()))
+
+    def confirm(self, upstream: str, incarnation: int) -> frozenset[str]:
+        """Note that an upstream has started anew; return the jobs that it concerns."""
+        found = self._find(upstream, incarnation)
+        for crash in found:
+            self.record(replace(crash, confirmed=True))
+        return frozenset(crash.task.job for crash in found)
 
     def retract(self, upstream: str, incarnation: int) -> None:
         """Remove what was recorded of an upstream that turns out not to have crashed."""
-        false = [
-            recorded
-            for recorded in self._recorded
-            if (recorded.crash.upstream, recorded.crash.incarnation) == (upstream, incarnation)
-        ]
-        for recorded in false:
-            self._recorded.remove(recorded)
-            self._remove(recorded.crash)
+        for crash in self._find(upstream, incarnation):
+            self._drop(crash)
 
     def is_suspect(self, task: TaskId) -> bool:
         """Return whether an upstream has crashed under a task."""
         return task in self._by_job.get(task.job, {})
 
+    def holds_back(self, task: TaskId) -> bool:
+        """Return whether a task isn't to be started for now."""
+        return should_hold_back(self._by_job.get(task.job, {}).get(task, ()))
+
     def has_given_up(self, job: str) -> bool:
         """Return whether one of a job's tasks is to be started no more."""
         return any(map(should_give_up, self._by_job.get(job, {}).values()))
@@ -78,6 +93,19 @@
         oldest_s = time.monotonic() - SHARING_S
         return tuple(r.crash for r in self._recorded if r.recorded_s >= oldest_s)
 
+    def _find(self, upstream: str, incarnation: int) -> list[Crash]:
+        crashes = (recorded.crash for recorded in self._recorded)
+        return [c for c in crashes if (c.upstream, c.incarnation) == (upstream, incarnation)]
+
+    def _forget_old(self) -> None:
+        oldest_s = time.monotonic() - RETENTION_S
+        while self._recorded and self._recorded[0].recorded_s < oldest_s:
+            self._remove(self._recorded.popleft().crash)
+
+    def _drop(self, crash: Crash) -> None:
+        self._recorded = deque(kept for kept in self._recorded if kept.crash != crash)
+        self._remove(crash)
+
     def _remove(self, crash: Crash) -> None:
         tasks = self._by_job[crash.task.job]
         tasks[crash.task].remove(crash)
