Record a term once more whose upstreams have seen a token that isn't in the log

A failure domain is led provisionally while the log is away and its earlier leader is paused or cut off; the provisional leader ends before it has recorded its term.

A term in the log gets a higher token than any provisional one before it, so the leader claims these failure domains once more. At most one claim succeeds each 5 s, for the case of an upstream that refuses every token.

Not covered: a leader of other failure domains that no longer leads its own.

--- a/features/site.feature
+++ b/features/site.feature
@@ -69,6 +69,15 @@
     When the log ignores appends
     Then the leader answers a job within 10 s each of 4 times that it is killed and starts again
 
+  Scenario: Upstreams are used again after a provisional leader has ended without a record of its term
+    # Guards against upstreams that stay idle for good, as they have seen a token that the log doesn't hold.
+    Given hosts on a site
+    When the log stops responding
+    And the leader is paused
+    And the other hosts lead their zones provisionally, and are killed
+    And the log responds again, and the other hosts are started and the leader is resumed
+    Then one job runs on upstreams of every zone within 10 s
+
   Scenario: A host whose fencing token the upstreams refuse isn't ready
     # Guards against callers who are sent to the weaker one of two provisional leaders, which serves nothing.
     Given hosts on a site with 2 hosts in each zone
--- a/features/steps/site.py
+++ b/features/steps/site.py
@@ -4,6 +4,7 @@
 import sys
 import threading
 import time
+import uuid
 from collections import Counter
 from itertools import chain
 from pathlib import Path
@@ -20,6 +21,7 @@
 
 CHANGE_TIMEOUT_S = 10.0
 SUBMISSION_INTERVAL_S = 0.4  # keeps jobs of 800 ms tasks running all the time, without overload
+SITE_TASKS = 12  # as many as six upstreams run at once
 HEARTBEAT_WAIT_S = 0.6  # four heartbeats; a drain takes a second or more
 
 
@@ -263,6 +265,45 @@
     context.deployment.control("store", {"silent": True})
 
 
+@when("the other hosts lead their zones provisionally, and are killed")
+def _(context: Context) -> None:
+    deployment = context.deployment
+    for host in other_hosts(context):
+        wait_until(lambda host=host: leads_provisionally(deployment, host), detail=host)
+    for host in other_hosts(context):
+        deployment.hosts[host].kill()
+
+
+def leads_provisionally(deployment: SiteDeployment, host: str) -> bool:
+    """Return whether a host leads its zone provisionally and every upstream there has seen that."""
+    tokens = {event["fence"] for event in deployment.read_events(host, 7405)}
+    fences = deployment.control("state")["fences"]
+    zone = deployment.find_zone(host)
+    return {fence for name, fence in fences.items() if f"-{zone}-" in name} <= tokens
+
+
+@when("the log responds again, and the other hosts are started and the leader is resumed")
+def _(context: Context) -> None:
+    deployment = context.deployment
+    deployment.control("store", {"silent": False})
+    deployment.hosts[context.leader].resume()
+    for host in other_hosts(context):
+        deployment.start_host(host)
+
+
+@then("one job runs on upstreams of every zone within {limit_s:d} s")
+def _(context: Context, limit_s: int) -> None:
+    wait_until(lambda: runs_in_every_zone(context.deployment), limit_s, "a job in every zone")
+
+
+def runs_in_every_zone(deployment: SiteDeployment) -> bool:
+    """Submit a job that fills the site, and return whether it runs on upstreams of every zone."""
+    job = uuid.uuid4().hex[:16]
+    deployment.submit("h1", SITE_TASKS, job)
+    runs = [run for run in deployment.list_runs() if run["task"].startswith(job)]
+    return len({run["upstream"].split("-")[1] for run in runs}) == deployment.zones
+
+
 @when("the next start at every upstream is carried out without a reply")
 def _(context: Context) -> None:
     for name in context.deployment.control("state")["fences"]:
--- a/packages/host/src/fireflybridge_host/_election.py
+++ b/packages/host/src/fireflybridge_host/_election.py
@@ -36,6 +36,8 @@
 MIN_STRENGTH_RATIO = 2.0  # a smaller difference in strength isn't worth a hand-over
 PEER_SEARCH_S = 0.2  # a claim fails at once while the log can't be read
 RENEWAL_INTERVAL_S = 0.5  # of a refused provisional term; doubles each time
+# Of a refused term in the log; an upstream that refuses every token must not bring terms in a row.
+RECORDED_RENEWAL_INTERVAL_S = 5.0
 LOST_LEADER_COOLDOWN_S = 10.0  # a host that was lost as leader may stay slow for seconds
 
 
@@ -70,6 +72,7 @@
         self._leader_lost_at_s: dict[str, float] = {}
         self._renewals = 0
         self._next_renewal_s = 0.0
+        self._next_recorded_renewal_s = 0.0
 
     @property
     def leads(self) -> bool:
@@ -146,6 +149,8 @@
             if await self._claim_own_domain() is not ClaimResult.WON:
                 await self._renew_provisional_term(term)
                 await self._leadership.changed.wait(RECHECK_INTERVAL_S / 4)
+        elif self._find_refused_domains():
+            await self._renew_recorded_terms()
         elif not self._scheduler.upstream_count:
             await self._leadership.changed.wait(RECHECK_INTERVAL_S)
         elif not self._needs_single_leader:
@@ -177,6 +182,22 @@
             self._event_logger.record_provisional(renewed, len(self._monitor.peers) + 1)
             self._leadership.add_terms((renewed,))
 
+    def _find_refused_domains(self) -> tuple[str, ...]:
+        """Return the led failure domains to claim again, as upstreams there refuse the token."""
+        if time.monotonic() < self._next_recorded_renewal_s:
+            return ()
+        return tuple(filter(self._scheduler.is_superseded, self._led_domains))
+
+    async def _renew_recorded_terms(self) -> None:
+        """Claim failure domains again whose upstreams have seen a token that isn't in the log.
+
+        It is that of a provisional leader, which gets time to record its term if it is still alive.
+        """
+        await anyio.sleep(STABLE_PERIOD_S)
+        domains = self._find_refused_domains()
+        if domains and not self._draining and await self._claim(domains) is ClaimResult.WON:
+            self._next_recorded_renewal_s = time.monotonic() + RECORDED_RENEWAL_INTERVAL_S
+
     async def _transfer_other_domains(self) -> None:
         """Hand over the other failure domains to their own hosts.
 
