--- a/features/malformed.feature
+++ b/features/malformed.feature
@@ -15,14 +15,22 @@
       | directory entry      |
       | term                 |
       | configuration        |
-      | page of the store    |
       | records of the store |
-      | heartbeat            |
-      | heartbeat reply      |
       | submission           |
       | answer               |
       | settings             |
 
+    @known_red
+    Examples: pages that repeat
+      | message              |
+      | page of the store    |
+
+    @known_red
+    Examples: addresses of other hosts
+      | message              |
+      | heartbeat            |
+      | heartbeat reply      |
+
   Scenario Outline: A job that can't be run is refused at once with 400
     # Guards against a job that exhausts the memory, or ends the scheduler with an index error.
     Then a job with "<fault>" is answered 400 without being submitted
@@ -40,6 +48,77 @@
       | an id with a dot            |
       | an id that is too short     |
 
+  Scenario Outline: An odd directory entry names no upstream, and the list is followed on
+    # Guards against a host that stops following the list, or ends, at an entry of another writer.
+    Then a directory with an entry with "<oddity>" lists the other upstreams and follows changes
+
+    Examples: addresses
+      | oddity                             |
+      | a port out of range                |
+      | port 0                             |
+      | a negative port                    |
+      | no port                            |
+      | a port of another script           |
+      | an address that is a name          |
+
+    @known_red
+    Examples: a port too long for a conversion
+      | oddity                             |
+      | a port of 5000 digits              |
+
+    Examples: nesting
+      | oddity                             |
+      | deep nesting                       |
+      | deep nesting of a field            |
+      | deep nesting of an unknown field   |
+      | deep nesting of objects            |
+      | deep nesting of a key              |
+
+    Examples: numbers
+      | oddity                             |
+      | a capacity of 5000 digits          |
+      | a capacity of 1e400                |
+      | a capacity that is not a number    |
+      | a start time of 5000 digits        |
+
+    @known_red
+    Examples: numbers too large for later steps
+      | oddity                             |
+      | a capacity of 400 digits           |
+      | a capacity beyond 64 bits          |
+      | a negative capacity                |
+      | a start time beyond 64 bits        |
+
+    Examples: fields and bytes
+      | oddity                             |
+      | an unknown state                   |
+      | missing fields                     |
+      | fields of another type             |
+      | a lone surrogate                   |
+      | text that is not UTF-8             |
+      | bytes that are not JSON            |
+      | 262144 bytes that are not JSON     |
+      | a key that is cut off              |
+
+    @known_red
+    Examples: keys that no request can name
+      | oddity                             |
+      | an empty key                       |
+      | a key that is not UTF-8            |
+      | a key with a line break            |
+      | a key of 255 bytes beyond Latin-1  |
+
+  @known_red
+  Scenario Outline: A page of the directory with an unreadable key lists the other upstreams
+    # Guards against a host that reads none of a list because of one of its keys.
+    Then a page of the directory with a key of <key> lists the other upstreams
+
+    Examples:
+      | key              |
+      | bytes            |
+      | a lone surrogate |
+      | a number         |
+
   Scenario: An outcome that isn't known counts as a failed run
     Then a report with an unknown outcome is read as a failed run
 
--- a/features/site.feature
+++ b/features/site.feature
@@ -176,6 +176,44 @@
     And 3 jobs of 4 tasks are submitted to each host in turn
     Then every job is answered 200 "succeeded"
 
+  @known_red
+  Scenario: Odd directory entries end no host, and the list is followed on
+    # Guards against hosts that end, or read the list no more, at an entry of another writer.
+    Given hosts on a site
+    When another writer puts odd entries into the directory
+    And an upstream drains and its entry was read
+    And 3 jobs of 12 tasks are submitted to each host in turn
+    Then every job is answered 200 "succeeded"
+    And the draining upstream got no start since
+    And every host is running and has logged no unexpected error
+
+  @known_red
+  Scenario: Hosts that start beside odd directory entries become ready
+    Given hosts on a site
+    When another writer puts odd entries into the directory
+    And all hosts are killed and start again
+    Then every host is ready
+    When 3 jobs of 4 tasks are submitted to each host in turn
+    Then every job is answered 200 "succeeded"
+    And every host is running and has logged no unexpected error
+
+  Scenario: Directory entries without an upstream at their address hold up no job
+    Given hosts on a site
+    When another writer puts entries without upstreams at their addresses into the directory
+    And all hosts are killed and start again
+    Then every host is ready
+    When 3 jobs of 4 tasks are submitted to each host in turn
+    Then every job is answered 200 "succeeded"
+    And every host is running and has logged no unexpected error
+
+  @known_red
+  Scenario: Jobs are answered while the entry of an upstream is odd at times
+    # Guards against a capacity too large for the choice of an upstream, which failed every job.
+    Given hosts on a site
+    When jobs are submitted while another writer overwrites an entry by one with a huge capacity
+    Then every job is answered 200 "succeeded"
+    And every host is running and has logged no unexpected error
+
   Scenario: Invalid settings are reported
     When a host is started without settings
     Then it exits with code 2 and reports check "adapter.E001"
--- a/features/steps/malformed.py
+++ b/features/steps/malformed.py
@@ -4,11 +4,14 @@
 import struct
 import tempfile
 from collections.abc import Awaitable, Callable
+from math import isfinite
 from pathlib import Path
 from typing import Any
 from unittest import mock
 
 import anyio
+import anyio.lowlevel
+import msgspec
 from behave import then
 from behave.runner import Context
 from hypothesis import given as for_all
@@ -23,27 +26,31 @@
 from fireflybridge_entry import Configuration, Limits, Route, RouteTable
 from fireflybridge_entry._codec import (
     CodecError,
+    HeartbeatReply,
+    Peer,
     decode_answer,
     decode_heartbeat,
     decode_heartbeat_reply,
     decode_submission,
 )
 from fireflybridge_execution import Hold, Start
-from fireflybridge_http import ConnectionPool, ExchangeError, Request, Response
+from fireflybridge_http import Connection, ConnectionPool, ExchangeError, Request, Response
 from fireflybridge_jobs import (
     Answer,
     Job,
     Resources,
     RoutePolicy,
     RunOutcome,
+    RunReport,
     Succeeded,
     TaskId,
     UpstreamInfo,
     UpstreamState,
 )
-from fireflybridge_leadership import StoreError
+from fireflybridge_leadership import Holder, StoreError
 
-EXAMPLES = 150
+EXAMPLES = 400
+READ_LIMIT_S = 2.0
 JOB_ID = "5c0e7a21d94b36f8"
 TASK = f"{JOB_ID}.0.0.1"
 UPSTREAM = UpstreamInfo("u1", "desk", "10.0.0.1:80", "z1", UpstreamState.READY, Resources(1))
@@ -106,7 +113,23 @@
 }
 
 JsonPath = tuple[str | int, ...]
+# Values that no JSON encoder writes; a text of this form stands for each until it is encoded.
+RAW_VALUES = {
+    "raw-deep": b"[" * 100_000 + b"]" * 100_000,
+    "raw-deep-objects": b'{"a":' * 100_000 + b"1" + b"}" * 100_000,
+    "raw-5000-digits": b"9" * 5000,
+    "raw-400-digits": b"9" * 400,
+    "raw-1e400": b"1e400",
+    "raw-nan": b"NaN",
+    "raw-surrogate": b'"\\ud800"',
+    "raw-bytes": b'"\xff\xfe"',
+    "raw-port": b'"10.0.0.1:' + b"9" * 5000 + b'"',
+}
 _junk = strategies.one_of(
+    strategies.sampled_from(tuple(RAW_VALUES)),
+    strategies.sampled_from(
+        (-(2**63), 2**63, 2**64, "1e999", "nan", "9" * 5000, "9" * 400, "10.0.0.1:99999", "a:b")
+    ),
     strategies.none(),
     strategies.booleans(),
     strategies.integers(-(2**70), 2**70),
@@ -155,11 +178,24 @@
     return copy
 
 
+def encode(value: Any) -> bytes:
+    """Return the JSON encoding of a value, with raw values in their places."""
+    encoded = json.dumps(value).encode()
+    for name, raw in RAW_VALUES.items():
+        encoded = encoded.replace(b'"%s"' % name.encode(), raw)
+    return encoded
+
+
+def check_encodable(value: object) -> None:
+    """Check that what was decoded can go into log lines and messages to other hosts."""
+    msgspec.json.encode(value)
+
+
 def damaged_json(example: Any) -> strategies.SearchStrategy[bytes]:
     """Return encoded copies of a message with a damaged value or damaged bytes."""
     encoded = json.dumps(example).encode()
     structured = strategies.builds(
-        lambda path, junk, remove: json.dumps(damage(example, path, junk, remove)).encode(),
+        lambda path, junk, remove: encode(damage(example, path, junk, remove)),
         strategies.sampled_from(list_places(example)),
         _junk,
         strategies.booleans(),
@@ -194,6 +230,7 @@
     for job in jobs:
         assert all(step.count > 0 for step in job.steps), job
         assert all(0 <= i < n for n, step in enumerate(job.steps) for i in step.after), job
+        check_encodable(job)
 
 
 async def check_deadline(text: bytes) -> None:
@@ -215,7 +252,10 @@
         report = await connection.hold(Hold(1, 0, 0, None), 1.0)
     except ExchangeError:
         return
-    assert report is not None
+    assert isinstance(report, RunReport), report
+    check_encodable(report)
+    assert isfinite(report.clock_ms), report
+    assert all(isfinite(run.percent) for run in report.running), report
 
 
 async def check_start(body: bytes) -> None:
@@ -230,6 +270,7 @@
 
 def respond(body: bytes, status: int = 200) -> Callable[..., Awaitable[Response]]:
     async def exchange(*_: object) -> Response:
+        await anyio.lowlevel.checkpoint()
         return Response(status, body)
 
     return exchange
@@ -238,18 +279,24 @@
 async def check_store_call(body: bytes, call: Callable[[LogClient], Awaitable[object]]) -> None:
     with mock.patch.object(ConnectionPool, "exchange", respond(body)):
         try:
-            await call(LogClient("10.0.0.1:1"))
+            with anyio.fail_after(READ_LIMIT_S):
+                result = await call(LogClient("10.0.0.1:1"))
         except StoreError:
             return
+    check_encodable(result)
 
 
 async def check_entry(value: bytes) -> None:
     upstream = _directory._translate(Record("u1", value, 0))
     assert upstream is None or isinstance(upstream, UpstreamInfo)
+    check_encodable(upstream)
 
 
 async def check_term(value: bytes) -> None:
-    _terms._translate_record(Record("z1", value, 4))
+    term = _terms._translate_record(Record("z1", value, 4))
+    check_encodable(term)
+    if term is not None:
+        Connection(term.holder.address)
 
 
 async def check_configuration(value: bytes) -> None:
@@ -280,13 +327,27 @@
 def check_codec(decode: Callable[[Any], object]) -> Callable[[Any], Awaitable[None]]:
     async def check(body: Any) -> None:
         try:
-            decode(body)
+            message = decode(body)
         except CodecError:
             return
+        check_encodable(message)
+        for holder in list_holders(message):
+            Connection(holder.address)
 
     return check
 
 
+def list_holders(message: object) -> list[Holder]:
+    """Return the holders named by a message of another host, to whose addresses this one connects."""
+    match message:
+        case Peer(holder=holder):
+            return [holder]
+        case HeartbeatReply(sender=sender, terms=terms, peers=peers):
+            return [term.holder for term in terms] + [peer.holder for peer in (sender, *peers)]
+        case _:
+            return []
+
+
 async def check_response_codec(body: bytes, decode: Callable[[Response], object]) -> None:
     await check_codec(decode)(Response(200, body))
 
--- a/features/support/site.py
+++ b/features/support/site.py
@@ -148,6 +148,11 @@
         assert response.status_code == 200, f"{path}: {response.status_code}"
         return dict(response.json())
 
+    def append(self, topic: str, content: bytes) -> None:
+        """Append a record's key and value, which need not be well-formed, to a topic."""
+        url = f"http://{self.site.address}/control/append/{topic}"
+        assert httpx.post(url, content=content, timeout=10).status_code == 200
+
     def find_leader(self, zone: str = "z1") -> str:
         """Return the host that the log names as the leader of a zone."""
         return str(self.control("state")["leaders"].get(zone, ""))
--- a/standins/src/fireflybridge_standins/site/_log.py
+++ b/standins/src/fireflybridge_standins/site/_log.py
@@ -22,7 +22,7 @@
     @property
     def key(self) -> str:
         """Key of the record."""
-        return self.content[1 : 1 + self.content[0]].decode()
+        return self.content[1 : 1 + self.content[0]].decode("utf-8", "replace")
 
     @property
     def value(self) -> bytes:
--- a/standins/src/fireflybridge_standins/site/_service.py
+++ b/standins/src/fireflybridge_standins/site/_service.py
@@ -104,8 +104,14 @@
 
     async def handle_control(self, request: Request) -> Response:
         """Serve one control request, which sets faults, changes records or reads the state."""
+        path = request.path.strip("/").split("/")
+        match path:
+            case ["control", "append", topic]:
+                # The content of one record, which need not be JSON nor have a key in UTF-8.
+                self.get_topic(topic).append([request.body])
+                return make_json_response(200, {})
         body: dict[str, Any] = json.loads(request.body or b"{}")
-        match request.path.strip("/").split("/"):
+        match path:
             case ["control", "store"]:
                 for name, value in body.items():
                     setattr(self.faults, name, value)
