--- a/features/malformed.feature
+++ b/features/malformed.feature
@@ -54,6 +54,7 @@
 
     Examples: addresses
       | oddity                             |
+      | a port of 5000 digits              |
       | a port out of range                |
       | port 0                             |
       | a negative port                    |
@@ -61,11 +62,6 @@
       | a port of another script           |
       | an address that is a name          |
 
-    @known_red
-    Examples: a port too long for a conversion
-      | oddity                             |
-      | a port of 5000 digits              |
-
     Examples: nesting
       | oddity                             |
       | deep nesting                       |
--- a/features/site.feature
+++ b/features/site.feature
@@ -176,7 +176,6 @@
     And 3 jobs of 4 tasks are submitted to each host in turn
     Then every job is answered 200 "succeeded"
 
-  @known_red
   Scenario: Odd directory entries end no host, and the list is followed on
     # Guards against hosts that end, or read the list no more, at an entry of another writer.
     Given hosts on a site
@@ -187,7 +186,6 @@
     And the draining upstream got no start since
     And every host is running and has logged no unexpected error
 
-  @known_red
   Scenario: Hosts that start beside odd directory entries become ready
     Given hosts on a site
     When another writer puts odd entries into the directory
