--- a/features/malformed.feature
+++ b/features/malformed.feature
@@ -76,10 +76,6 @@
       | a capacity of 1e400                |
       | a capacity that is not a number    |
       | a start time of 5000 digits        |
-
-    @known_red
-    Examples: numbers too large for later steps
-      | oddity                             |
       | a capacity of 400 digits           |
       | a capacity beyond 64 bits          |
       | a negative capacity                |
--- a/features/site.feature
+++ b/features/site.feature
@@ -204,7 +204,6 @@
     Then every job is answered 200 "succeeded"
     And every host is running and has logged no unexpected error
 
-  @known_red
   Scenario: Jobs are answered while the entry of an upstream is odd at times
     # Guards against a capacity too large for the choice of an upstream, which failed every job.
     Given hosts on a site
