--- a/features/malformed.feature
+++ b/features/malformed.feature
@@ -92,7 +92,6 @@
       | 262144 bytes that are not JSON     |
       | a key that is cut off              |
 
-    @known_red
     Examples: keys that no request can name
       | oddity                             |
       | an empty key                       |
