End the read of a log whose page names itself as the next

A page with has_more whose last key is the one that it was asked to continue after was read again and again, without a pause: the fuzzed pages reached 5.9 GB within 10 minutes. No such store was seen.

Evidence: the fuzzed pages of the store ran into their limit of 2 s before and pass.

--- a/features/malformed.feature
+++ b/features/malformed.feature
@@ -15,16 +15,12 @@
       | directory entry      |
       | term                 |
       | configuration        |
+      | page of the store    |
       | records of the store |
       | submission           |
       | answer               |
       | settings             |
 
-    @known_red
-    Examples: pages that repeat
-      | message              |
-      | page of the store    |
-
     @known_red
     Examples: addresses of other hosts
       | message              |
