--- a/features/malformed.feature
+++ b/features/malformed.feature
@@ -95,7 +95,6 @@
       | a key with a line break            |
       | a key of 255 bytes beyond Latin-1  |
 
-  @known_red
   Scenario Outline: A page of the directory with an unreadable key lists the other upstreams
     # Guards against a host that reads none of a list because of one of its keys.
     Then a page of the directory with a key of <key> lists the other upstreams
