--- a/features/malformed.feature
+++ b/features/malformed.feature
@@ -104,6 +104,15 @@
   Scenario: An outcome that isn't known counts as a failed run
     Then a report with an unknown outcome is read as a failed run
 
+  Scenario Outline: A percentage that is not finite makes a report malformed
+    Then a report with a percentage of "<text>" is refused as malformed
+
+    Examples:
+      | text  |
+      | inf   |
+      | 1e999 |
+      | nan   |
+
   Scenario: A refusal of unknown reason is not taken for an answer
     Then an answer of a peer with an unknown reason is refused as malformed
 
--- a/features/steps/malformed.py
+++ b/features/steps/malformed.py
@@ -4,6 +4,7 @@
 import struct
 import tempfile
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from math import isfinite
 from pathlib import Path
 from typing import Any
@@ -464,6 +465,19 @@
     anyio.run(hold)
 
 
+@then('a report with a percentage of "{text}" is refused as malformed')
+def check_percentage(context: Context, text: str) -> None:
+    async def hold() -> None:
+        connection = HttpCommandConnection(UPSTREAM)
+        body = json.dumps({**_report, "running": [[TASK, 2, "", text]]}).encode()
+        connection._connection.exchange = respond(body)  # type: ignore[method-assign]
+        report = await connection.hold(Hold(1, 0, 0, None), 1.0)
+        raise AssertionError(f"the report was decoded: {report}")
+
+    with suppress(ExchangeError):
+        anyio.run(hold)
+
+
 @then("an answer of a peer with an unknown reason is refused as malformed")
 def check_unknown_reason(context: Context) -> None:
     try:
