--- a/features/malformed.feature
+++ b/features/malformed.feature
@@ -101,6 +101,11 @@
       | a lone surrogate |
       | a number         |
 
+  Scenario: A record of the log that is cut off is read again
+    # Guards against an entry that is dropped because its response ended within it.
+    Then a read of two records of which the second is cut off ends before that one
+    And a read of one record that is cut off gives no usable response
+
   Scenario: An outcome that isn't known counts as a failed run
     Then a report with an unknown outcome is read as a failed run
 
--- a/features/steps/odd_entries.py
+++ b/features/steps/odd_entries.py
@@ -1,6 +1,7 @@
 """Steps that put entries of another writer into the directory and read it as a host does."""
 
 import base64
+import struct
 import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -19,8 +20,9 @@
 )
 
 from fireflybridge_adapter._directory import TOPIC, LogDirectorySource
-from fireflybridge_adapter._store import LogClient
+from fireflybridge_adapter._store import LogClient, Records
 from fireflybridge_http import ConnectionPool, Request, Response
+from fireflybridge_leadership import StoreError
 from fireflybridge_standins.site._service import Site
 
 OVERWRITE_INTERVAL_S = 0.25  # shorter than the interval at which a leader reads the directory
@@ -88,6 +90,36 @@
         await check_listed(LogDirectorySource(LogClient("10.0.0.9:1")), {"u1", "u2"})
 
 
+RECORDS_HEAD = struct.pack(">QQ", 7, 0)
+CONTENT = encode_content(b"u1", GOOD_ENTRY)
+RECORD = struct.pack(">I", len(CONTENT)) + CONTENT
+CUT_RECORD = RECORD[:-1]
+
+
+async def read_records(body: bytes) -> Records:
+    async def exchange(*_: object) -> Response:
+        return Response(200, RECORDS_HEAD + body)
+
+    with mock.patch.object(ConnectionPool, "exchange", exchange):
+        return await LogClient("10.0.0.9:1").read_since(TOPIC, 5, 0)
+
+
+@then("a read of two records of which the second is cut off ends before that one")
+def check_cut_after_record(context: Context) -> None:
+    read = anyio.run(read_records, RECORD + CUT_RECORD)
+    assert [record.value for record in read.records] == [GOOD_ENTRY], read
+    assert read.end == 6, read
+
+
+@then("a read of one record that is cut off gives no usable response")
+def check_cut_record(context: Context) -> None:
+    try:
+        read = anyio.run(read_records, CUT_RECORD)
+    except StoreError:
+        return
+    raise AssertionError(f"the record was read: {read}")
+
+
 @when("another writer puts odd entries into the directory")
 def put_odd_entries(context: Context) -> None:
     for content in list_odd_contents():
