Keep the known peers when one of them is asked

Found on reading the change: a reply to a probe replaced all known peers by those of the host that was asked, which are none unless it leads, so that a host that asks its peers before it leads forgot them. Only the leader that a host follows knows all peers; other replies add to them. "A host that asks one peer doesn't forget the others" failed before and passes.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -148,6 +148,12 @@
     When the leader stops replying
     Then the leader is lost within 2 s
 
+  Scenario: A host that asks one peer doesn't forget the others
+    # Guards against a second leader of a failure domain whose first one was known and then forgotten.
+    Given a host that follows a leader which replies to heartbeats
+    When it has heard of two peers from its leader and asks one of them
+    Then it knows both peers and the leader
+
   Scenario: The newest term of a failure domain is in force, in any order of arrival
     Then of terms with tokens 2000, 1003 and 3000 in any order the one with 3000 is in force
     And a provisional term after one in the log is newer than it and older than the next in the log
--- a/features/steps/pauses.py
+++ b/features/steps/pauses.py
@@ -144,6 +144,32 @@
     anyio.run(run)
 
 
+@when("it has heard of two peers from its leader and asks one of them")
+def ask_peer(context: Context) -> None:
+    others = [Peer(Holder(f"h{n}", "1", f"127.0.0.1:{n}"), "z1", 1.0) for n in (3, 4)]
+    replies = {
+        LEADER.holder.address: HeartbeatReply(LEADER, (), tuple(others)),
+        others[0].holder.address: HeartbeatReply(others[0], (), ()),
+    }
+
+    async def reply(connection: Connection, _request: Request, _timeout_s: float) -> Response:
+        return encode_heartbeat_reply(replies[connection.address])
+
+    async def run() -> None:
+        monitor = LeaderMonitor(make_leadership(), ENTRY)
+        with mock.patch.object(Connection, "exchange", reply):
+            for peer in (LEADER, others[0]):
+                assert await monitor.probe(peer.holder)
+        context.peers = {peer.holder.host for peer in monitor.peers}
+
+    anyio.run(run)
+
+
+@then("it knows both peers and the leader")
+def check_peers(context: Context) -> None:
+    assert context.peers == {"h1", "h3", "h4"}, context.peers
+
+
 @then("the leader isn't lost")
 def check_not_lost(context: Context) -> None:
     assert not context.lost_after_pause, context.losses
--- a/packages/entry/src/fireflybridge_entry/_leader_monitor.py
+++ b/packages/entry/src/fireflybridge_entry/_leader_monitor.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import time
-from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
 import anyio
@@ -90,7 +89,7 @@
             while True:
                 with contextlib.suppress(ExchangeError, CodecError):
                     reply = await self._request(connection)
-                    self._learn(reply, keep=self.peers)
+                    self._learn(reply, keep_peers=True)
                 await anyio.sleep(HEARTBEAT_INTERVAL_S)
         finally:
             await connection.close()
@@ -99,12 +98,13 @@
         """Return whether the given incarnation of a host replies to one heartbeat."""
         connection = Connection(holder.address)
         try:
-            return isinstance(await self._exchange(connection, holder), HeartbeatReply)
+            result = await self._exchange(connection, holder, keep_peers=True)
+            return isinstance(result, HeartbeatReply)
         finally:
             await connection.close()
 
     async def _exchange(
-        self, connection: Connection, holder: Holder
+        self, connection: Connection, holder: Holder, *, keep_peers: bool = False
     ) -> "HeartbeatReply | _FailedHeartbeat":
         try:
             reply = await self._request(connection)
@@ -112,7 +112,7 @@
             return _FailedHeartbeat(str(error), error.refused)
         except CodecError as error:
             return _FailedHeartbeat(str(error), refused=False)
-        self._learn(reply)
+        self._learn(reply, keep_peers=keep_peers)
         if reply.sender.holder != holder:
             return _FailedHeartbeat("the host has restarted", refused=True)
         return reply
@@ -121,12 +121,16 @@
         response = await connection.exchange(self._heartbeat, HEARTBEAT_TIMEOUT_S)
         return decode_heartbeat_reply(response)
 
-    def _learn(self, reply: HeartbeatReply, keep: Iterable[Peer] = ()) -> None:
-        """Note the terms, crashes and peers of a reply; its sender may be a peer itself."""
+    def _learn(self, reply: HeartbeatReply, *, keep_peers: bool) -> None:
+        """Note the terms, crashes and peers of a reply; its sender may be a peer itself.
+
+        A leader that this host follows knows all peers; another host may know a part of them.
+        """
         self._leadership.add_terms(reply.terms)
         for crash in reply.crashes:
             self._crashes.record(crash)
-        found = {peer.holder.host: peer for peer in (*keep, *reply.peers, reply.sender)}
+        known = self.peers if keep_peers else ()
+        found = {peer.holder.host: peer for peer in (*known, *reply.peers, reply.sender)}
         self.peers = tuple(
             peer
             for host, peer in found.items()
