Don't refuse as not run a job whose runs have crashed upstreams

Cause: since a task is held back until a crash is certain, a job that is submitted again after 504 could find its task held back, place nothing and be refused as not run at its time of refusal, though the submission before had started it. Such a job now counts as one that may have run: it waits until the crash is certain, or for its deadline.

"A job that was given up starts nothing when it is submitted again" failed before with its added step (refused, no room) and passes. A caller of the site's scenarios also comes back after 503, which a change of leader may bring.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -353,9 +353,11 @@
     Then the job is answered as succeeded, and its task isn't suspected
 
   Scenario: A job that was given up starts nothing when it is submitted again
+    # Guards against a refusal that says "not run" of a job whose runs have crashed upstreams.
     Given a leader of 3 in-memory upstreams that can crash
     When two upstreams crash under a task and its job is submitted again
-    Then the job whose task crashes upstreams is answered as failed after 2 starts
+    Then it isn't answered before the upstreams start again
+    And the job whose task crashes upstreams is answered as failed after 2 starts
 
   Scenario: A host that replaces its leader knows which tasks crash upstreams
     # Guards against a new leader that starts such a task as if nothing was known of it (issue 26).
--- a/features/steps/crashes.py
+++ b/features/steps/crashes.py
@@ -31,6 +31,7 @@
 TASK = TaskId(CRASHING_JOB.id, 0, 0, 0)
 LONGER_THAN_LEASE_S = 0.8
 SHORTER_THAN_LEASE_S = 0.2
+LONGER_THAN_REFUSAL_S = 0.6  # a job that can't start is refused after 0.16 of its objective
 
 
 def make_crash(index: int, *, alone: bool, confirmed: bool = True) -> Crash:
@@ -290,11 +291,18 @@
             for starts in (1, 2):
                 name = await wait_for_run(context, CRASHING_JOB, starts)
                 context.upstreams[name].crash()
-            await anyio.sleep(SHORTER_THAN_LEASE_S)
+            group.cancel_scope.cancel()
+        async with anyio.create_task_group() as group:
+            group.start_soon(submit, context, scheduler, CRASHING_JOB)
+            await anyio.sleep(LONGER_THAN_REFUSAL_S)
+            context.early_answers = dict(context.answers)
             for upstream in context.upstreams.values():
                 upstream.restart()
-        context.answers.clear()
-        await submit(context, scheduler, CRASHING_JOB)
+
+
+@then("it isn't answered before the upstreams start again")
+def check_no_early_answer(context: Context) -> None:
+    assert not context.early_answers, context.early_answers
 
 
 @when("it has replied to a heartbeat of a host, which then leads and gets the job")
--- a/features/support/site.py
+++ b/features/support/site.py
@@ -22,7 +22,7 @@
 TIMEOUT_MS = 3000
 ADDRESSES_PER_DEPLOYMENT = 8
 LONGEST_ESTIMATE_MS = 800
-REPEATED_STATUSES = (0, 502, 504)
+REPEATED_STATUSES = frozenset({0, 502, 503, 504})
 RESUBMISSION_DELAY_S = 1.3
 MAX_SUBMISSIONS = 5
 _deployments = count()
@@ -189,7 +189,7 @@
         return self._callers.submit(self.submit, host, tasks, job)
 
     def submit_until_final(self, host: str, spec: str) -> Answer:
-        """Submit a job of one task again, as callers do, until it isn't answered 502, 504 or not."""
+        """Submit a job of one task until it has an answer of its own, as a caller does that comes back."""
         job = uuid.uuid4().hex[:16]
         answer = Answer(0)
         for _ in range(MAX_SUBMISSIONS):
--- a/packages/execution/src/fireflybridge_execution/_scheduler.py
+++ b/packages/execution/src/fireflybridge_execution/_scheduler.py
@@ -160,6 +160,8 @@
                 active.finish(task)
         for session in self._sessions:
             session.adopt_orphans(job.id)
+        if self._crashes.has_job(job.id):
+            active.may_have_run = True
         self._give_up_if_crashing(active)
         self._enqueue(active)
         self._abandon_late_jobs()
--- a/packages/placement/src/fireflybridge_placement/_crashes.py
+++ b/packages/placement/src/fireflybridge_placement/_crashes.py
@@ -80,6 +80,10 @@
         """Return whether an upstream has crashed under a task."""
         return task in self._by_job.get(task.job, {})
 
+    def has_job(self, job: str) -> bool:
+        """Return whether an upstream has crashed under a task of a job, which has run then."""
+        return job in self._by_job
+
     def holds_back(self, task: TaskId) -> bool:
         """Return whether a task isn't to be started for now."""
         return should_hold_back(self._by_job.get(task.job, {}).get(task, ()))
