Let steps share the making of an election and the wait for a host's jobs

Found on reading the change once more: the election of two steps was built twice, and two steps waited for a job at each host with the same loop. Checks and bounds are as they were; decisions.feature and the two scenarios of site.feature that use the loop pass.

--- a/features/steps/leader_election.py
+++ b/features/steps/leader_election.py
@@ -67,22 +67,9 @@
     """Run the host's part in the election until it leads its failure domain."""
     await context.log.append(("z1", "z2", "z3"), LOST, 0)
     leadership = Leadership(context.log, ignore)
-    election = LeaderElection(
-        SimpleNamespace(
-            failure_domain="z2",
-            failure_domains=("z1", "z2", "z3"),
-            strength=1.0,
-            joined_upstreams=3,
-        ),
-        OWN,
-        leadership,
-        context.monitor,
-        SimpleNamespace(set_leader=ignore, renew_leader=ignore),
-        SimpleNamespace(lead=ignore, upstream_count=3),
-        SimpleNamespace(set_leading=ignore),
-        SimpleNamespace(find_strongest=ignore),
-        EventLogger(),
-    )
+    submitter = SimpleNamespace(set_leader=ignore, renew_leader=ignore)
+    scheduler = SimpleNamespace(lead=ignore, upstream_count=3)
+    election = make_election(leadership, context.monitor, submitter, scheduler)
     async with anyio.create_task_group() as group:
         group.start_soon(election.apply_terms)
         group.start_soon(election.run)
--- a/features/steps/site.py
+++ b/features/steps/site.py
@@ -6,6 +6,7 @@
 import time
 import uuid
 from collections import Counter
+from collections.abc import Iterable
 from concurrent.futures import Future
 from itertools import chain
 from pathlib import Path
@@ -384,7 +385,12 @@
 
 @then('jobs submitted to every host are answered {status:d} "{state}" within {limit_s:d} s')
 def _(context: Context, status: int, state: str, limit_s: int) -> None:
-    for host in context.deployment.hosts:
+    wait_for_jobs(context, context.deployment.hosts, state, limit_s)
+
+
+def wait_for_jobs(context: Context, hosts: Iterable[str], state: str, limit_s: float) -> None:
+    """Submit jobs to each host in turn until one has ended in a state."""
+    for host in hosts:
         wait_until(
             lambda host=host: context.deployment.submit(host, 2).state == state,
             limit_s,
@@ -643,12 +649,7 @@
 )
 def _(context: Context, status: int, state: str, limit_s: int) -> None:
     zones = {context.deployment.find_zone(host): host for host in other_hosts(context)}
-    for host in zones.values():
-        wait_until(
-            lambda host=host: context.deployment.submit(host, 2).state == state,
-            limit_s,
-            f"a job at {host}",
-        )
+    wait_for_jobs(context, zones.values(), state, limit_s)
 
 
 @then("the upstreams of each zone have the same fencing token")
