--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,11 +1,14 @@
-"""A worker crashes and starts again under its id as another kind; starts there are checked."""
+"""The leader freezes while callers' requests reach it; it wakes when they run elsewhere."""
 
+import http.client
 import json
-import random
+import signal
 import sys
 import threading
 import time
 import uuid
+from base64 import b64decode
+from itertools import combinations
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
@@ -13,13 +16,19 @@
 
 from deployment import Deployment, run_case, wait_for
 
-WORK_MS = 250
-JOBS_PER_S = 24  # near what three workers of one kind carry: 6 tasks at a time of 250 ms
-PERIOD_S = 44.0
-CRASHES_AT_S = tuple(3.0 + 4.0 * index for index in range(10))
-DOWN_S = 1.0
-KINDS = ("a", "a", "b")
+HOSTS = ("h1", "h2", "h3")
 DEADLINE_MS = 1500
+RETRANSMIT_S = 1.3
+FREEZE_S = 4.0
+JOBS = 12
+FIRST_SENT_S = 0.9  # after the freeze; the platform takes the machine out after two misses, 2 s
+GAP_S = 0.03
+ROUNDS = 4
+BODY = {
+    "spec": json.dumps({"cpu": 2000, "work_ms": [700]}),
+    "best_effort": True,
+    "steps": [{"count": 1, "cpu": 2000, "mem_mb": 64, "estimate_ms": 700}],
+}
 
 
 def main(trouble):
@@ -27,95 +36,99 @@
     try:
         deployment.start_store()
         deployment.configure()
-        for zone in ("z1", "z2", "z3"):
-            for index, kind in enumerate(KINDS):
-                deployment.start_worker(f"i-{zone}-{index}", zone, kind, f"r-{zone}")
-        for name in ("h1", "h2", "h3"):
+        for index in range(9):
+            zone = f"z{index % 3 + 1}"
+            deployment.start_worker(f"i-{index}", zone, "a", f"r-{zone}")
+        for name in HOSTS:
             deployment.start_host(name)
-        for name in ("h1", "h2", "h3"):
+        for name in HOSTS:
             wait_for(lambda name=name: deployment.is_ready(name), 20, f"{name} is ready")
-        time.sleep(3.5)  # every machine is in touch, and the leader has settled
-        return play(deployment, trouble)
+        time.sleep(4.0)  # every machine is in touch, and the leader has settled
+        for _ in range(ROUNDS):
+            play(deployment, trouble)
+        return judge(deployment)
     finally:
         deployment.close()
 
 
+def find_leader(deployment):
+    host, _, port = deployment.store.rpartition(":")
+    connection = http.client.HTTPConnection(host, int(port), timeout=2)
+    connection.request("GET", "/fireflybridge/log-newest?topic=keyed.leaders&part=0")
+    items = json.loads(connection.getresponse().read())["items"]
+    newest = max(items, key=lambda item: item["offset"])
+    return json.loads(b64decode(newest["value"]))["host"]
+
+
 def play(deployment, trouble):
+    leader = find_leader(deployment)
+    others = [name for name in HOSTS if name != leader]
     begin_s = time.monotonic()
-    threads = [threading.Thread(target=send_jobs, args=(deployment, begin_s))]
     if trouble:
-        threads.append(threading.Thread(target=crash_worker, args=(deployment, begin_s)))
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
-    time.sleep(2.0)
-    return judge(deployment)
-
-
-def send_jobs(deployment, begin_s):
-    """Submit jobs at even intervals; half of them require kind a, half kind b."""
+        deployment.processes[leader].send_signal(signal.SIGSTOP)
+        deployment.note(f"the leader {leader} is stopped")
     callers = []
-    for index in range(int(JOBS_PER_S * 2 * PERIOD_S)):
-        time.sleep(max(begin_s + index / (JOBS_PER_S * 2) - time.monotonic(), 0))
-        caller = threading.Thread(target=submit, args=(deployment, "ab"[index % 2]))
-        caller.start()
-        callers.append(caller)
+    for index in range(JOBS):
+        time.sleep(max(begin_s + FIRST_SENT_S + index * GAP_S - time.monotonic(), 0))
+        hosts = (leader, others[index % len(others)])
+        callers.append(threading.Thread(target=submit, args=(deployment, hosts)))
+        callers[-1].start()
+    time.sleep(max(begin_s + FREEZE_S - time.monotonic(), 0))
+    if trouble:
+        deployment.processes[leader].send_signal(signal.SIGCONT)
+        deployment.note(f"{leader} continues")
     for caller in callers:
         caller.join()
+    time.sleep(5.0)
 
 
-def submit(deployment, kind):
+def submit(deployment, hosts):
+    """Submit a job; without a response until the deadline, send it again to another host."""
     job = uuid.uuid4().hex[:16]
-    host = f"h{random.randint(1, 3)}"
-    spec = json.dumps({"cpu": 6800, "work_ms": [WORK_MS], "requires": kind})
-    step = {"count": 1, "cpu": 6800, "mem_mb": 64, "estimate_ms": WORK_MS, "requires": kind}
-    body = {"spec": spec, "best_effort": True, "steps": [step]}
-    status, text = deployment.call(host, "POST", job, body, 3.0, DEADLINE_MS)
-    deployment.note(f"{job} requires {kind}, sent to {host}: {status} {text}")
-
-
-def crash_worker(deployment, begin_s):
-    """Kill the worker of kind b in z1 and start it again with the other kind, by turns."""
-    name, kind = "i-z1-2", "b"
-    for at_s in CRASHES_AT_S:
-        time.sleep(max(begin_s + at_s - time.monotonic(), 0))
-        deployment.kill(name)
-        deployment.note(f"{name} of kind {kind} crashed")
-        time.sleep(DOWN_S)
-        kind = "a" if kind == "b" else "b"
-        deployment.start_worker(name, "z1", kind, "r-z1")
-        deployment.note(f"{name} starts again as kind {kind}")
+    for host in hosts:
+        answer = deployment.call(host, "POST", job, BODY, DEADLINE_MS / 1000, DEADLINE_MS)
+        deployment.note(f"{job} sent to {host}: {answer}")
+        if answer[0] not in (0, 502, 504):
+            return
+        time.sleep(RETRANSMIT_S)
 
 
 def judge(deployment):
-    registered = {}
-    broken = []
-    starts = 0
+    """Return 1 if two runs of a task were under way at the same time on workers that were up."""
+    runs = {}
     for line in deployment.read_runs():
-        life = (line["worker"], line["born"])
-        if line["event"] == "registered":
-            registered[life] = line["at"]
-        if line["event"] != "start":
-            continue
-        starts += 1
-        requires = json.loads(line["spec"])["requires"]
-        deployment.note(
-            f"{line['at'] - deployment.begun_s:.3f} s: start of {line['task']}, which requires "
-            f"{requires}, on {line['worker']} of kind {line['kind']}"
-        )
-        if requires != line["kind"]:
-            since_s = line["at"] - registered[life]
-            broken.append(
-                f"{line['task']} requires {requires} and started on {line['worker']}, which had "
-                f"said {since_s * 1000:.0f} ms before that it is of kind {line['kind']}"
-            )
+        key = (line["worker"], line["run"])
+        if line["event"] == "start":
+            runs.setdefault(line["task"], []).append([key, line["at"], None, ""])
+        elif line["event"] == "end":
+            run = next(r for r in reversed(runs[line["task"]]) if r[0] == key)
+            run[2:] = [line["at"], line["how"]]
+    broken = []
+    for task, found in runs.items():
+        for first, second in combinations(found, 2):
+            if first[2] is None or second[2] is None:
+                continue
+            overlap_s = min(first[2], second[2]) - max(first[1], second[1])
+            if overlap_s > 0:
+                broken.append(
+                    f"{task}: {describe(deployment, first)} and {describe(deployment, second)}: "
+                    f"{overlap_s * 1000:.1f} ms at the same time"
+                )
     for text in broken:
-        deployment.note(f"ROUTE: {text}")
-        print(f"ROUTE: {text}")
-    deployment.note(f"starts: {starts}; rule broken: {bool(broken)}")
-    print(f"starts: {starts}")
+        deployment.note(f"TWICE: {text}")
+    print(*[f"TWICE: {text}" for text in broken[:5]], sep="\n")
+    counts = f"tasks: {len(runs)}; overlapping runs: {len(broken)}"
+    deployment.note(counts)
+    print(counts)
     return 1 if broken else 0
 
 
+def describe(deployment, run):
+    begun_s = deployment.begun_s
+    (worker, number), start_s, end_s, how = run
+    return (
+        f"run {number} on {worker} from {start_s - begun_s:.4f} to {end_s - begun_s:.4f} s ({how})"
+    )
+
+
 run_case(main)
