--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -11,6 +11,7 @@
 import tempfile
 import threading
 import time
+import traceback
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -18,6 +19,7 @@
 HOST_NAME = "desk.example"
 PREFIX = "/orders/"
 CANNOT_RUN = 2
+PORTS = (7720, 8161, 8167, 9464)
 
 
 class CannotRun(Exception):
@@ -46,7 +48,7 @@
         self.processes = {}
         self.started = []
         self.lock = threading.Lock()
-        self.network = f"127.{random.randint(10, 250)}.{random.randint(1, 250)}"
+        self.network = _choose_network()
         self.store = self.free_address(200)
         self.workers = {}
         self.begun_s = time.time()
@@ -228,10 +230,37 @@
 
 def run_case(main):
     """Run a case: its function gets whether to make trouble, and returns the exit code."""
+    signal.signal(signal.SIGTERM, _end)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
         code = main(trouble)
     except CannotRun as error:
         print(f"could not run: {error}")
         code = CANNOT_RUN
+    except Exception:  # a fault of the script says nothing of the rule
+        traceback.print_exc()
+        code = CANNOT_RUN
     sys.exit(code)
+
+
+def _end(_number, _frame):
+    """End through ``finally``, which ends the processes, when the time limit is reached."""
+    sys.exit(CANNOT_RUN)
+
+
+def _choose_network():
+    """Return the first three parts of loopback addresses at which the hosts' ports are free."""
+    while True:
+        network = f"127.{random.randint(10, 250)}.{random.randint(1, 250)}"
+        if all(_is_free(f"{network}.{last}", port) for last in range(1, 10) for port in PORTS):
+            return network
+
+
+def _is_free(ip, port):
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((ip, port))
+        except OSError:
+            return False
+        return True
