Send starts only to the incarnation that the session knows

Cause: the runs, the clock and the lease that a session knows are those of one incarnation, but a start went to whatever process listened at the address. Ruled out: a second leader (every line and token is of one host).

A start is now sent only over a connection on which the known incarnation has replied to a hold since it was opened, and no connection is opened for it. Since a connection ends with its process, a start can't reach a later incarnation, so the end of an incarnation and the end of a lease hold for every run. What each piece of evidence says of a run is decided in judge_run.

The in-memory upstreams of the tests say to which incarnation they lead. The scenario of the refused starts waits for a refused command, since the hold that comes before a start is refused first; an idle upstream gets no commands, so it still shows that a run was placed there.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -49,6 +49,7 @@
     """An upstream that ends each run at once, unless its spec is ``ENDLESS``."""
 
     def __init__(self) -> None:
+        self.incarnation = 1
         self._running: list[RunningRun] = []
         self._ended: list[EndedRun] = []
         self._count = 0
--- a/features/steps/crashes.py
+++ b/features/steps/crashes.py
@@ -267,7 +267,7 @@
         for upstream in crashed:
             upstream.crash()
         group.start_soon(submit, context, scheduler, replace(CRASHING_JOB, steps=TWO_TASKS))
-        await wait_until(lambda: all(upstream.refused_starts for upstream in crashed))
+        await wait_until(lambda: all(upstream.refused_commands for upstream in crashed))
         up.end_run()
         up.end_run()
         await wait_until(lambda: find_upstream(context, CRASHING_JOB) and len(up.running) == 2)
--- a/features/steps/decisions.py
+++ b/features/steps/decisions.py
@@ -316,6 +316,7 @@
         self.running = list(running)
         self.started: list[Start] = []
         self.ended: list[EndedRun] = []
+        self.incarnation = 1
 
     async def start(self, command: Start, timeout_s: float) -> Accepted:
         """Start a run."""
--- a/features/steps/malformed.py
+++ b/features/steps/malformed.py
@@ -270,7 +270,7 @@
 
 
 def respond(body: bytes, status: int = 200) -> Callable[..., Awaitable[Response]]:
-    async def exchange(*_: object) -> Response:
+    async def exchange(*_: object, **_options: object) -> Response:
         await anyio.lowlevel.checkpoint()
         return Response(status, body)
 
--- a/features/support/upstreams.py
+++ b/features/support/upstreams.py
@@ -1,7 +1,6 @@
 """In-memory upstreams whose runs end when a test says so."""
 
 from collections.abc import Callable
-from dataclasses import replace
 
 import anyio
 
@@ -36,6 +35,8 @@
         self.acknowledged = 0
         """Sequence number of the last end that a hold has acknowledged."""
         self.starts = 0
+        self.incarnation = 1
+        """The incarnation to which its connections lead."""
 
     async def start(self, command: Start, timeout_s: float) -> Accepted:
         """Start a run."""
@@ -52,7 +53,7 @@
         await anyio.sleep(0.01)
         self.acknowledged = max(self.acknowledged, command.acknowledged)
         ended = tuple(run for run in self.ended if run.sequence > command.acknowledged)
-        return RunReport(1000.0, 1, tuple(self.running), ended)
+        return RunReport(1000.0, self.incarnation, tuple(self.running), ended)
 
     async def close(self) -> None:
         """Do nothing, as there is no connection."""
@@ -69,15 +70,14 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.incarnation = 1
         self.refuses = False
         self.silent = False
-        self.refused_starts = 0
+        self.refused_commands = 0
+        """Only an upstream on which a run is placed, or was left, gets commands."""
         self.started_jobs: list[str] = []
 
     async def start(self, command: Start, timeout_s: float) -> Accepted:
         """Start a run."""
-        self.refused_starts += self.refuses
         await self._check_reachable()
         self.started_jobs.append(command.task.job)
         return await super().start(command, timeout_s)
@@ -87,7 +87,7 @@
         await self._check_reachable()
         report = await super().hold(command, timeout_s)
         await self._check_reachable()
-        return replace(report, incarnation=self.incarnation)
+        return report
 
     def crash(self) -> None:
         """Forget everything and refuse connections."""
@@ -102,6 +102,7 @@
 
     async def _check_reachable(self) -> None:
         if self.refuses:
+            self.refused_commands += 1
             await anyio.sleep(REFUSAL_S)
             raise ExchangeError(ExchangeStep.CONNECT, "u", "refused")
         if self.silent:
--- a/packages/execution/src/fireflybridge_execution/_commands.py
+++ b/packages/execution/src/fireflybridge_execution/_commands.py
@@ -69,8 +69,16 @@
 class CommandConnection(Protocol):
     """Send one command at a time; methods raise ``ExchangeError`` if no reply arrives in time."""
 
+    @property
+    def incarnation(self) -> int | None:
+        """Return the incarnation that has replied to a hold over the connection as it is now.
+
+        It is None if none has replied, or if the connection has ended, as it does with the process.
+        """
+        ...
+
     async def start(self, command: Start, timeout_s: float) -> Accepted | Rejected:
-        """Start a run."""
+        """Start a run; a connection that has ended isn't opened anew for it."""
         ...
 
     async def stop(self, command: Stop, timeout_s: float) -> Accepted | Rejected:
--- a/packages/execution/src/fireflybridge_execution/_run_registry.py
+++ b/packages/execution/src/fireflybridge_execution/_run_registry.py
@@ -163,12 +163,3 @@
             self.remove(run.key)
         self.remove_orphans(tuple(self._orphans))
         return runs
-
-    def select_unlisted(self, listed: Iterable[RunKey], sent_s: float) -> tuple[Run, ...]:
-        """Return the runs missing from a list that was requested after they were acknowledged."""
-        present = set(listed)
-        return tuple(
-            run
-            for run in self._runs.values()
-            if run.confirmed_s is not None and run.confirmed_s < sent_s and run.key not in present
-        )
--- a/packages/execution/src/fireflybridge_execution/_session.py
+++ b/packages/execution/src/fireflybridge_execution/_session.py
@@ -1,7 +1,7 @@
 """Session with one upstream: its runs, its lease and the connections for commands."""
 
 import time
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import replace
 
 import anyio
@@ -19,6 +19,14 @@
     Stop,
 )
 from fireflybridge_execution._events import CrashSign, UpstreamCrashed
+from fireflybridge_execution._evidence import (
+    Evidence,
+    IncarnationEnded,
+    LeaseExpired,
+    RunsListed,
+    RunState,
+    judge_run,
+)
 from fireflybridge_execution._live_runs import LiveRuns
 from fireflybridge_execution._run_listener import RunListener
 from fireflybridge_execution._run_registry import OrphanedRun, Run, RunKey, RunPhase, RunRegistry
@@ -239,7 +247,7 @@
         for ended in report.ended:
             self._handle_ended_run(ended, now_s)
         listed = {(run.task, run.number): run for run in report.running}
-        self._remove_lost(self.runs.select_unlisted(listed, sent_s))
+        self._apply_evidence(RunsListed(listed, sent_s))
         self._update_orphans(listed, now_s)
         if not self.synced:
             self.synced = True
@@ -265,7 +273,7 @@
             running = {(run.task, run.number) for run in report.running}
             ended = {(run.task, run.number) for run in report.ended}
             self.report_crash(CrashSign.RESTARTED, started_since=running | ended)
-            self._remove_lost(self.runs.list_runs())
+            self._apply_evidence(IncarnationEnded())
             self._replace_health(Health(), "the upstream has restarted")
         self._incarnation = report.incarnation
         self._acknowledged = 0
@@ -338,10 +346,17 @@
             crashed = UpstreamCrashed(self.info.id, self._incarnation, sign, runs)
             self._listener.upstream_crashed(crashed)
 
-    def _remove_lost(self, runs: Iterable[Run]) -> None:
-        for run in runs:
-            self.runs.remove(run.key)
-            self._listener.run_lost(self.info.id, run)
+    def _apply_evidence(self, evidence: Evidence) -> None:
+        """Remove the runs that aren't alive by this evidence."""
+        for run in self.runs.list_runs():
+            match judge_run(run, evidence):
+                case RunState.MAY_BE_ALIVE:
+                    pass
+                case RunState.NOT_SENT:
+                    self._withdraw(run, None)
+                case RunState.LOST:
+                    self.runs.remove(run.key)
+                    self._listener.run_lost(self.info.id, run)
 
     def _handle_hold_error(self, error: ExchangeError) -> None:
         """Eject the upstream after a second failure; a single lost reply says little about it.
@@ -365,13 +380,13 @@
         self._report_availability()
         if time.monotonic() > self._lease_end_s:
             self._lost_in_silence += self.runs.list_started()
-            self._remove_lost(self.runs.list_runs())
+            self._apply_evidence(LeaseExpired())
 
     def _handle_rejection(self, reason: RejectionReason) -> None:
         self._eject(reason)
         if reason is RejectionReason.OTHER_INCARNATION:
             self.report_crash(CrashSign.REPLACED)
-            self._remove_lost(self.runs.list_runs())
+            self._apply_evidence(IncarnationEnded())
             self._clock = None
             self._incarnation = 0
             self.synced = False
@@ -413,13 +428,57 @@
                 self._withdraw(run, RejectionReason.FENCE)
             case _ if self.superseded:
                 pass
+            case RunPhase.QUEUED if not self.synced:
+                self._withdraw(run, None)
             case RunPhase.QUEUED:
-                await self._send_start(connection, replace(run, phase=RunPhase.STARTING))
+                await self._check_and_start(connection, run)
             case RunPhase.STOPPING:
                 await self._send_stop(connection, run)
             case RunPhase.STARTING | RunPhase.RUNNING:
                 pass
 
+    async def _check_and_start(self, connection: CommandConnection, queued: Run) -> None:
+        """Send a start once it is certain that it can't reach an unknown incarnation.
+
+        The runs, the clock and the capacity that are known are those of one incarnation. Were a
+        start carried out by a later one, the end of the earlier one would say nothing of its run.
+        """
+        is_checked = connection.incarnation == self._incarnation
+        if not is_checked:
+            is_checked = await self._check_incarnation(connection)
+        run = self.runs.find(queued.key)
+        if run is None or run.phase is not RunPhase.QUEUED:
+            return
+        if is_checked:
+            await self._send_start(connection, replace(run, phase=RunPhase.STARTING))
+        else:
+            self._withdraw(run, None)
+
+    async def _check_incarnation(self, connection: CommandConnection) -> bool:
+        """Return whether the known incarnation replies over a connection."""
+        hold = Hold(self.fence, acknowledged=0, wait_ms=0, lease_until_ms=None)
+        try:
+            reply = await connection.hold(hold, COMMAND_TIMEOUT_S)
+        except ExchangeError as error:
+            self._handle_call_error(error)
+            return False
+        match reply:
+            case RunReport(incarnation=incarnation):
+                if incarnation != self._incarnation:
+                    self._request_report()
+                return incarnation == self._incarnation
+            case Rejected(reason=RejectionReason.FENCE):
+                self._supersede()
+            case Rejected(reason=reason):
+                self._handle_rejection(reason)
+        return False
+
+    def _request_report(self) -> None:
+        """Give the upstream no work before its next report, which a hold requests now."""
+        self.synced = False
+        self._report_availability()
+        self._run_added.set()
+
     async def _send_start(self, connection: CommandConnection, run: Run) -> None:
         self.runs.update(run)
         lease_until_ms = self._extend_lease(time.monotonic())
--- a/packages/http/src/fireflybridge_http/_client.py
+++ b/packages/http/src/fireflybridge_http/_client.py
@@ -59,9 +59,21 @@
         self._stream: SocketStream | None = None
         self._parser = ResponseParser()
         self._poller = select.poll()
+        self.openings = 0
+        """How often the connection was opened; it leads to one process until the next time."""
 
-    async def exchange(self, request: Request, timeout_s: float) -> Response:
-        """Return the response within ``timeout_s``; raise ``ExchangeError`` otherwise."""
+    @property
+    def is_open(self) -> bool:
+        """Return whether the connection is open, and the peer has not closed it."""
+        return self._stream is not None and not self._poller.poll(0)
+
+    async def exchange(
+        self, request: Request, timeout_s: float, *, may_open: bool = True
+    ) -> Response:
+        """Return the response within ``timeout_s``; raise ``ExchangeError`` otherwise.
+
+        Unless it ``may_open`` the connection, a request is only sent over one that is open already.
+        """
         step = ExchangeStep.CONNECT
         finished = False
         try:
@@ -70,7 +82,7 @@
             raise ExchangeError(step, self.address, str(error)) from error
         try:
             with anyio.fail_after(timeout_s):
-                stream = await self._connect()
+                stream = await self._connect(may_open=may_open)
                 step = ExchangeStep.SEND
                 await stream.send(encoded)
                 step = ExchangeStep.RECEIVE
@@ -101,17 +113,20 @@
             with anyio.CancelScope(shield=True):
                 await anyio.aclose_forcefully(stream)
 
-    async def _connect(self) -> SocketStream:
+    async def _connect(self, *, may_open: bool) -> SocketStream:
         if self._stream is not None:
-            if not self._poller.poll(0):
+            if self.is_open:
                 return self._stream
             # Readable without a pending request: the peer has closed the connection.
             await self.close()
+        if not may_open:
+            raise ConnectionAbortedError("the connection has ended")
         try:
             opened = await open_stream(self._host, self._port, CONNECT_TIMEOUT_S)
         except OSError as error:
             raise _find_system_error(error) from error
         self._stream = opened.stream
+        self.openings += 1
         opened.raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._poller = select.poll()
         self._poller.register(opened.raw, select.POLLIN)
