Start nothing for requests that waited while this host was paused

Cause: a process that was paused takes what lies in its sockets, queues and timers for new. Ruled out as a fix: reading to the end of the connection first, since the end may come later than the start; and fencing, since nobody else leads the zone.

A start is now only sent if the process was not paused since the caller can have sent its request. The time that the lease of a start counts from is read before the check, so a pause after it makes the upstream refuse the start. A leader takes no job of a host whose heartbeats have stopped until they come again.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -30,6 +30,7 @@
     UpstreamInfo,
     UpstreamState,
 )
+from fireflybridge_pauses import PauseMonitor
 
 UPSTREAM_COUNTS = (24, 108, 540, 1000)
 CAPACITY = Resources(16000, 65536, 0)
@@ -108,7 +109,7 @@
 
 async def measure(count: int) -> None:
     """Print the processor time of each decision in microseconds with ``count`` upstreams."""
-    scheduler = Scheduler(InMemoryConnector(), lambda _event: None, lambda: None)
+    scheduler = Scheduler(InMemoryConnector(), lambda _event: None, lambda: None, PauseMonitor())
     async with anyio.create_task_group() as group:
         group.start_soon(scheduler.serve)
         scheduler.lead({"z1": 1000})
--- a/features/site.feature
+++ b/features/site.feature
@@ -39,6 +39,16 @@
     And no task ran twice at the same time
     And one host leads every zone
 
+  Scenario: A leader that was paused starts no job of a caller whose end it hasn't read
+    # Guards against a second run of a job that was sent elsewhere while its first host was paused (review/3).
+    Given hosts on a site whose tasks take 600 ms
+    When the leader is paused until another host leads
+    And a caller submits a job to it without ever leaving, and then the same job to another host
+    And the paused host is resumed while the job runs
+    Then its answer to the first request is 503
+    And no task ran twice at the same time
+    And a job submitted to the resumed host is answered 200 "succeeded" soon
+
   Scenario: Zones keep serving with their own upstreams while the leader and the log are unavailable
     # Guards against a zone that is cut off and refuses all jobs although its upstreams are idle.
     Given hosts on a site with 2 hosts in each zone
--- a/features/steps/crashes.py
+++ b/features/steps/crashes.py
@@ -23,6 +23,7 @@
 from fireflybridge_http import Connection, Request, Response
 from fireflybridge_jobs import Crash, Failed, Job, Succeeded, TaskId, UpstreamState
 from fireflybridge_leadership import Holder, Leadership, Term
+from fireflybridge_pauses import PauseMonitor
 from fireflybridge_placement import CrashHistory, should_give_up, should_hold_back
 
 CRASHING_JOB = make_job("a", 1)
@@ -65,7 +66,7 @@
 async def lead(context: Context) -> AsyncIterator[Scheduler]:
     """Run a scheduler that leads the upstreams."""
     crashes = context.crashes
-    scheduler = Scheduler(context.connector, lambda _: None, lambda: None, crashes)
+    scheduler = Scheduler(context.connector, lambda _: None, lambda: None, PauseMonitor(), crashes)
     async with anyio.create_task_group() as group:
         group.start_soon(scheduler.serve)
         scheduler.lead({"z1": 1000})
@@ -331,7 +332,7 @@
     follower = Peer(Holder("h2", "1", "127.0.0.1:2"), "z1", 1.0)
     leadership = Leadership(mock.Mock(), lambda _: None)
     leadership.add_terms((Term("z1", holder, 1000),))
-    service = PeerService(leader, mock.Mock(), leadership, context.crashes)
+    service = PeerService(leader, mock.Mock(), leadership, PauseMonitor(), context.crashes)
 
     async def exchange(_connection: Connection, request: Request, _timeout_s: float) -> Response:
         return await service.handle(request)
--- a/features/steps/decisions.py
+++ b/features/steps/decisions.py
@@ -35,6 +35,7 @@
     compute_fence,
     select_newest_terms,
 )
+from fireflybridge_pauses import PauseMonitor
 from fireflybridge_placement import (
     Health,
     RunProgress,
@@ -408,7 +409,7 @@
 
 def make_scheduler(context: Context) -> Scheduler:
     connector = InMemoryConnector(context.upstreams)
-    return Scheduler(connector, lambda _event: None, lambda: None)
+    return Scheduler(connector, lambda _event: None, lambda: None, PauseMonitor())
 
 
 async def submit_job(context: Context, scheduler: Scheduler, earlier: EarlierRuns | None) -> None:
@@ -545,7 +546,7 @@
     """Lead an upstream until it has received three holds."""
     info = UpstreamInfo("u1", "desk", "u1:1", "z1", UpstreamState.READY, CAPACITY)
     connector = InMemoryConnector({"u1": upstream})
-    scheduler = Scheduler(connector, lambda _event: None, lambda: None)
+    scheduler = Scheduler(connector, lambda _event: None, lambda: None, PauseMonitor())
     async with anyio.create_task_group() as group:
         group.start_soon(scheduler.serve)
         scheduler.lead({"z1": 1000})
--- a/features/steps/earlier_runs.py
+++ b/features/steps/earlier_runs.py
@@ -33,6 +33,7 @@
     TaskId,
     UpstreamInfo,
 )
+from fireflybridge_pauses import PauseMonitor
 
 JOB = make_job("a", 2)
 SINGLE_TASK_JOB = make_job("b", 1)
@@ -50,7 +51,7 @@
     on_event: Callable[[ExecutionEvent], None] = lambda _event: None,
 ) -> AsyncIterator[Scheduler]:
     """Run a scheduler that leads the upstreams of the scenario."""
-    scheduler = Scheduler(connector, on_event, lambda: None)
+    scheduler = Scheduler(connector, on_event, lambda: None, PauseMonitor())
     async with anyio.create_task_group() as group:
         group.start_soon(scheduler.serve)
         scheduler.lead({"z1": fence})
--- a/features/steps/free_upstreams.py
+++ b/features/steps/free_upstreams.py
@@ -35,6 +35,7 @@
     Succeeded,
     TaskId,
 )
+from fireflybridge_pauses import PauseMonitor
 from fireflybridge_placement import (
     TaskRequirements,
     UpstreamCandidate,
@@ -140,7 +141,7 @@
 async def fill_upstreams(context: Context, tasks: int) -> None:
     """Fill the upstreams, submit a job that must wait, end a run and submit one more."""
     connector = EndlessConnector()
-    scheduler = Scheduler(connector, lambda _event: None, lambda: None)
+    scheduler = Scheduler(connector, lambda _event: None, lambda: None, PauseMonitor())
     context.answers = []
 
     async def submit(job: Job) -> Answer:
@@ -199,7 +200,7 @@
     """Run a scheduler that leads the upstream of the scenario."""
     context.connector = EndlessConnector()
     context.upstream = context.connector.upstreams["u0"] = SlowUpstream()
-    scheduler = Scheduler(context.connector, lambda _event: None, lambda: None)
+    scheduler = Scheduler(context.connector, lambda _event: None, lambda: None, PauseMonitor())
     async with anyio.create_task_group() as group:
         group.start_soon(scheduler.serve)
         scheduler.lead({"z1": 1000})
--- a/features/steps/incarnations.py
+++ b/features/steps/incarnations.py
@@ -23,6 +23,7 @@
 from fireflybridge_execution._run_registry import Run, RunPhase
 from fireflybridge_http import Connection, ExchangeError, Request, Response, Server, ServerLimits
 from fireflybridge_jobs import Succeeded, TaskId
+from fireflybridge_pauses import PauseMonitor
 
 JOB = make_job("a", 1)
 TASK = TaskId(JOB.id, 0, 0, 0)
@@ -55,7 +56,7 @@
 async def run_across_restart(context: Context) -> None:
     """Restart an idle upstream, then submit a job to its leader, which doesn't know of it."""
     upstream: RestartableUpstream = context.upstream
-    scheduler = Scheduler(HttpCommandConnector(), lambda _event: None, lambda: None)
+    scheduler = Scheduler(HttpCommandConnector(), lambda _event: None, lambda: None, PauseMonitor())
     async with anyio.create_task_group() as group:
         await upstream.start_process(group)
         group.start_soon(scheduler.serve)
@@ -129,5 +130,5 @@
     name, _, unconfirmed = phase.partition(", ")
     confirmed = name in ("running", "stopping") and not unconfirmed
     confirmed_s = CONFIRMED_S if confirmed else None
-    run = Run(TASK, 1, "work", NEEDS, RunPhase[name.upper()], 0.0, confirmed_s)
+    run = Run(TASK, 1, "work", NEEDS, RunPhase[name.upper()], 0.0, 0.0, confirmed_s)
     assert judge_run(run, EVIDENCE[evidence]) is STATES[fate]
--- a/features/steps/job_submitter.py
+++ b/features/steps/job_submitter.py
@@ -10,6 +10,7 @@
 from fireflybridge_entry import JobSubmitter, LocalLeader, RemoteLeader
 from fireflybridge_http import ConnectionPool, Request, Response
 from fireflybridge_jobs import Answer, EarlierRuns, Job, Succeeded
+from fireflybridge_pauses import PauseMonitor
 
 SENDING_S = 0.05
 
@@ -39,7 +40,7 @@
 @given('an entry host whose job is at a leader of "{domain}" under token {fence:d}')
 def given_leader(context: Context, domain: str, fence: int) -> None:
     context.scheduler = RecordingScheduler()
-    context.submitter = JobSubmitter("h2", context.scheduler)
+    context.submitter = JobSubmitter("h2", context.scheduler, PauseMonitor())
     context.domains = {domain: fence}
 
 
@@ -61,7 +62,7 @@
         submitter = context.submitter
         submitter.set_leader(make_leader(context.domains))
         async with anyio.create_task_group() as group:
-            group.start_soon(submitter.submit, make_job("a", 1))
+            group.start_soon(submitter.submit, make_job("a", 1), 0.0)
             await anyio.sleep(SENDING_S)
             submitter.renew_leader(make_leader(domains))
             await anyio.sleep(SENDING_S)
--- a/features/steps/leader_election.py
+++ b/features/steps/leader_election.py
@@ -15,6 +15,7 @@
 from fireflybridge_http import Request, Response
 from fireflybridge_jobs import Answer, EarlierRuns, Job, Succeeded
 from fireflybridge_leadership import AppendResult, Holder, Leadership, Term, compute_fence
+from fireflybridge_pauses import PauseMonitor
 
 OWN = Holder("h2", "1", "127.0.0.1:2")
 LOST = Holder("h1", "1", "127.0.0.1:1")
@@ -165,7 +166,7 @@
     await log.append(("z2",), LOST, 0)
     leadership = Leadership(log, ignore)
     scheduler = RecordingScheduler()
-    submitter = JobSubmitter(OWN.host, scheduler)
+    submitter = JobSubmitter(OWN.host, scheduler, PauseMonitor())
     pool = SilentPool()
     submitter._pools[LOST.address] = pool
     monitor = GainingLeaderMonitor(log, leadership, pool.sent)
@@ -175,7 +176,7 @@
         group.start_soon(election.run)
         group.start_soon(leadership.follow)
         with anyio.move_on_after(TIMEOUT_S):
-            await submitter.submit(make_job("a", 1))
+            await submitter.submit(make_job("a", 1), 0.0)
         group.cancel_scope.cancel()
     context.earlier = scheduler.earlier
 
@@ -206,7 +207,7 @@
     log = SilentAppendLog()
     log.terms.append(Term("z2", LOST, compute_fence(0)))
     leadership = Leadership(log, ignore)
-    submitter = JobSubmitter(OWN.host, RecordingScheduler())
+    submitter = JobSubmitter(OWN.host, RecordingScheduler(), PauseMonitor())
     scheduler = SimpleNamespace(lead=ignore, upstream_count=3)
     election = make_election(leadership, SilentLeaderMonitor(), submitter, scheduler)
     async with anyio.create_task_group() as group:
--- a/features/steps/malformed.py
+++ b/features/steps/malformed.py
@@ -145,7 +145,7 @@
     def __init__(self) -> None:
         self.jobs: list[Job] = []
 
-    async def submit(self, job: Job) -> Answer:
+    async def submit(self, job: Job, sent_after_s: float) -> Answer:
         """Keep the job and answer it."""
         self.jobs.append(job)
         return Succeeded()
--- a/features/steps/pauses.py
+++ b/features/steps/pauses.py
@@ -20,6 +20,7 @@
 from fireflybridge_http import Connection, ExchangeError, ExchangeStep, Request, Response
 from fireflybridge_jobs import Answer, EarlierRuns, Job, Succeeded
 from fireflybridge_leadership import Holder, Leadership, Term
+from fireflybridge_pauses import PauseMonitor
 
 LEADER = Peer(Holder("h1", "1", "127.0.0.1:1"), "z1", 1.0)
 ENTRY = Peer(Holder("h2", "1", "127.0.0.1:2"), "z1", 1.0)
@@ -55,7 +56,7 @@
 @when("its process is paused for {pause_s:g} s and the next heartbeat arrives {late_s:g} s later")
 def pause_leader(context: Context, pause_s: float, late_s: float) -> None:
     async def run() -> None:
-        service = PeerService(LEADER, context.scheduler, make_leadership())
+        service = PeerService(LEADER, context.scheduler, make_leadership(), PauseMonitor())
         async with anyio.create_task_group() as group:
             group.start_soon(service.watch_senders)
             await service.handle(encode_heartbeat(ENTRY))
--- a/features/steps/superseded.py
+++ b/features/steps/superseded.py
@@ -17,6 +17,7 @@
     Start,
 )
 from fireflybridge_jobs import NotRun, RunReport, UpstreamInfo
+from fireflybridge_pauses import PauseMonitor
 
 LEASE_S = 1.0
 """How long the rules let a refused host go on with commands that were under way."""
@@ -74,7 +75,7 @@
 async def lead_superseded(context: Context) -> None:
     """Submit a job to a leader that hasn't heard of the one that has replaced it."""
     connector: SupersedingConnector = context.connector
-    scheduler = Scheduler(connector, lambda _event: None, lambda: None)
+    scheduler = Scheduler(connector, lambda _event: None, lambda: None, PauseMonitor())
     async with anyio.create_task_group() as group:
         group.start_soon(scheduler.serve)
         scheduler.lead({"z1": 1000})
--- a/packages/entry/src/fireflybridge_entry/_leader_monitor.py
+++ b/packages/entry/src/fireflybridge_entry/_leader_monitor.py
@@ -13,9 +13,9 @@
     decode_heartbeat_reply,
     encode_heartbeat,
 )
-from fireflybridge_entry._silence import WaitingClock
 from fireflybridge_http import Connection, ExchangeError
 from fireflybridge_leadership import Holder, Leadership, Term
+from fireflybridge_pauses import WaitingClock
 from fireflybridge_placement import CrashHistory
 
 HEARTBEAT_INTERVAL_S = 0.15
--- a/packages/entry/src/fireflybridge_entry/_peer_service.py
+++ b/packages/entry/src/fireflybridge_entry/_peer_service.py
@@ -11,6 +11,7 @@
     CodecError,
     HeartbeatReply,
     Peer,
+    Submission,
     decode_heartbeat,
     decode_submission,
     encode_answer,
@@ -18,10 +19,10 @@
 )
 from fireflybridge_entry._job_scheduler import JobScheduler
 from fireflybridge_entry._leader_monitor import PEER_TIMEOUT_S
-from fireflybridge_entry._silence import WaitingClock
 from fireflybridge_http import Request, Response
 from fireflybridge_jobs import Answer, Moved, TimedOut
 from fireflybridge_leadership import Leadership
+from fireflybridge_pauses import PauseMonitor, WaitingClock
 from fireflybridge_placement import CrashHistory
 
 PEER_CHECK_INTERVAL_S = 0.1
@@ -39,7 +40,8 @@
     """Handle the requests of other hosts.
 
     The jobs of a host whose heartbeats have stopped are cancelled: it can't receive their answers,
-    and their callers may submit them to another host.
+    and their callers may submit them to another host. It may have been paused, so a job that it sends
+    is only taken once its heartbeats have come again.
     """
 
     def __init__(
@@ -47,13 +49,17 @@
         host: Peer,
         scheduler: JobScheduler,
         leadership: Leadership,
+        pauses: PauseMonitor,
         crashes: CrashHistory | None = None,
     ) -> None:
         self._host = host
+        self._pauses = pauses
         self._scheduler = scheduler
         self._leadership = leadership
         self._crashes = CrashHistory() if crashes is None else crashes
         self._heartbeats: dict[str, _ReceivedHeartbeat] = {}
+        self._silent: set[str] = set()
+        """Hosts whose heartbeats have stopped."""
         self._cancel_scopes: dict[str, set[anyio.CancelScope]] = {}
         self._clock = WaitingClock()
 
@@ -79,6 +85,7 @@
                 if heartbeat.received_s < oldest_s
             ]:
                 del self._heartbeats[host]
+                self._silent.add(host)
                 for scope in self._cancel_scopes.get(host, ()):
                     scope.cancel()
 
@@ -95,6 +102,7 @@
             sender = decode_heartbeat(request.body)
         except CodecError:
             return Response(400)
+        self._silent.discard(sender.holder.host)
         self._heartbeats[sender.holder.host] = _ReceivedHeartbeat(sender, self._clock.now_s)
         peers = tuple(
             heartbeat.sender
@@ -105,12 +113,20 @@
         crashes = self._crashes.list_recent()
         return encode_heartbeat_reply(HeartbeatReply(self._host, terms, peers, crashes))
 
+    def _may_take(self, submission: Submission, request: Request) -> bool:
+        """Return whether this host leads and the sender still waits for the answer."""
+        return (
+            bool(self._leadership.find_terms_held_by(self._host.holder))
+            and submission.sender not in self._silent
+            and self._pauses.is_current(request.sent_after_s)
+        )
+
     async def _handle_submission(self, request: Request) -> Response:
         try:
             submission = decode_submission(request.body)
         except CodecError:
             return Response(400)
-        if not self._leadership.find_terms_held_by(self._host.holder):
+        if not self._may_take(submission, request):
             return encode_answer(Moved(submission.earlier))
         answer: Answer = TimedOut("the entry host fell silent")
         scopes = self._cancel_scopes.setdefault(submission.sender, set())
--- a/packages/entry/src/fireflybridge_entry/_submission.py
+++ b/packages/entry/src/fireflybridge_entry/_submission.py
@@ -20,6 +20,7 @@
     merge_fences,
 )
 from fireflybridge_leadership import Notifier
+from fireflybridge_pauses import PauseMonitor
 from fireflybridge_placement import RETRY_AFTER_S, compute_critical_path_ms, compute_objective_ms
 
 MAX_IDLE_CONNECTIONS = 32
@@ -56,9 +57,10 @@
     so that the next leader adopts them instead of starting the tasks a second time.
     """
 
-    def __init__(self, host: str, scheduler: JobScheduler) -> None:
+    def __init__(self, host: str, scheduler: JobScheduler, pauses: PauseMonitor) -> None:
         self._host = host
         self._scheduler = scheduler
+        self._pauses = pauses
         self._leader: Leader = None
         self._changed = Notifier()
         self._pools: dict[str, ConnectionPool] = {}
@@ -104,8 +106,12 @@
         """Return whether jobs can be submitted now."""
         return self._leader is not None
 
-    async def submit(self, job: Job) -> Answer:
-        """Return the answer to a job that this host has just received."""
+    async def submit(self, job: Job, sent_after_s: float) -> Answer:
+        """Return the answer to a job that this host has just received.
+
+        Its caller had not sent it before ``sent_after_s`` on the monotonic clock. If this host was
+        paused since then, the caller may have left and sent it elsewhere, so it isn't submitted.
+        """
         received_s = time.monotonic()
         deadline_s = received_s + min(job.wait_ms, job.policy.timeout_ms) / 1000
         leader_wait_s = (
@@ -114,6 +120,8 @@
         earlier: EarlierRuns | None = None
         while time.monotonic() < deadline_s:
             leader = await self._wait_for_leader(min(deadline_s, time.monotonic() + leader_wait_s))
+            if not self._pauses.is_current(sent_after_s):
+                return _give_up(earlier, RefusalReason.PAUSED, "this host was paused")
             match leader:
                 case None:
                     break
@@ -135,9 +143,7 @@
                         case _:
                             return reply
             await self._wait_for_change(leader)
-        if earlier is not None:
-            return TimedOut("no leader took the job in time")
-        return NotRun(RefusalReason.NO_LEADER, RETRY_AFTER_S)
+        return _give_up(earlier, RefusalReason.NO_LEADER, "no leader took the job in time")
 
     async def _wait_for_leader(self, deadline_s: float) -> Leader:
         while self._leader is None and time.monotonic() < deadline_s:
@@ -176,6 +182,11 @@
         return pool
 
 
+def _give_up(earlier: EarlierRuns | None, reason: RefusalReason, detail: str) -> Answer:
+    """Return the answer to a job that isn't submitted again; it is only refused if nothing ran."""
+    return NotRun(reason, RETRY_AFTER_S) if earlier is None else TimedOut(detail)
+
+
 @dataclass(frozen=True, slots=True)
 class _Unsent:
     """The job wasn't sent to the leader."""
--- a/packages/execution/src/fireflybridge_execution/_active_job.py
+++ b/packages/execution/src/fireflybridge_execution/_active_job.py
@@ -27,6 +27,8 @@
         self.job = job
         self.received_s = received_s
         self.submitted_s = time.monotonic()
+        self.requested_s = self.submitted_s
+        """When its newest submission was read, whose sender waits for the answer."""
         self.critical_path_ms = compute_critical_path_ms(job)
         """Estimated work of the longest chain of dependent tasks, before what was learned."""
         self.deadline_s = received_s + min(job.wait_ms, job.policy.timeout_ms) / 1000
--- a/packages/execution/src/fireflybridge_execution/_placer.py
+++ b/packages/execution/src/fireflybridge_execution/_placer.py
@@ -109,7 +109,14 @@
         active.waiting.remove(task)
         number = active.record_placement(task, chosen.id, now_s)
         exclusive = suspect and chosen.idle
-        session.start(task, number, active.job.spec, requirements.needs, exclusive=exclusive)
+        session.start(
+            task,
+            number,
+            active.job.spec,
+            requirements.needs,
+            active.requested_s,
+            exclusive=exclusive,
+        )
         return Placement(task, number, chosen.id, chosen.speed)
 
     def _build_requirements(
--- a/packages/execution/src/fireflybridge_execution/_run_registry.py
+++ b/packages/execution/src/fireflybridge_execution/_run_registry.py
@@ -25,6 +25,7 @@
 class Run:
     """A run of a task on this upstream.
 
+    ``requested_s`` is when the submission of its job was read, on the monotonic clock.
     ``confirmed_s`` is when the upstream acknowledged the start or stop, None before that.
     ``started`` is whether the upstream got the start while it was up. Beside an ``exclusive`` run no
     other is started.
@@ -36,6 +37,7 @@
     needs: Resources
     phase: RunPhase
     placed_s: float
+    requested_s: float
     confirmed_s: float | None = None
     started: bool = False
     exclusive: bool = False
--- a/packages/execution/src/fireflybridge_execution/_scheduler.py
+++ b/packages/execution/src/fireflybridge_execution/_scheduler.py
@@ -42,6 +42,7 @@
     TaskId,
     TimedOut,
 )
+from fireflybridge_pauses import PauseMonitor
 from fireflybridge_placement import (
     RETRY_AFTER_S,
     CrashHistory,
@@ -63,11 +64,13 @@
         connector: CommandConnector,
         on_event: Callable[[ExecutionEvent], None],
         on_superseded: Callable[[], None],
+        pauses: PauseMonitor,
         crashes: CrashHistory | None = None,
     ) -> None:
         self._on_event = on_event
         self._on_superseded = on_superseded
-        self._sessions = SessionManager(connector, self, self.run_lost)
+        self._pauses = pauses
+        self._sessions = SessionManager(connector, self, self.run_lost, pauses)
         self._crashes = CrashHistory() if crashes is None else crashes
         self._placer = Placer(self._sessions, self._crashes)
         self._queue = JobQueue()
@@ -125,13 +128,18 @@
 
         ``earlier`` says where runs that another leader started may be alive. If every call for a
         job is cancelled, its runs are stopped. A second submission of the same job shares the
-        answer of the first.
+        answer of the first. A submission that may have waited while this host was paused is answered
+        ``Moved``, so that the entry host sends it again if its caller still waits.
         """
+        now_s = time.monotonic()
+        if not self._pauses.is_current(now_s):
+            return Moved(earlier)
         active = self._jobs.get(job.id)
         if active is None:
             active = self._receive(job, age_s, earlier)
         elif earlier is not None:
             active.learn_earlier_runs(earlier)
+        active.requested_s = now_s
         active.waiter_count += 1
         try:
             return await self._wait_for_answer(active)
@@ -243,7 +251,7 @@
             next_jobs = waiting[position : position + MAX_BACKFILL_ATTEMPTS]
             if not attempts_left or not self._placer.has_room(next_jobs):
                 return
-            if not self._has_resolved_earlier_runs(active, now_s):
+            if not self._may_start(active, now_s):
                 continue
             self._place_job(active, now_s)
             if active.waiting and active.answer is None:
@@ -263,10 +271,15 @@
             self._on_event(TasksPlaced(active.job.id, placements, len(active.waiting)))
 
     def _abandon_late_jobs(self) -> None:
-        """Answer jobs that can't be done, or whose earlier runs can't be ruled out, in time."""
+        """Answer jobs that can't be done, or whose earlier runs can't be ruled out, in time.
+
+        Those whose senders may have left while this host was paused are given back.
+        """
         now_s = time.monotonic()
         for active in self._queue.list_first():
-            if self._placer.will_miss_deadline(active, now_s):
+            if not self._pauses.is_current(active.requested_s):
+                self._give_back(active)
+            elif self._placer.will_miss_deadline(active, now_s):
                 self._abandon(active, "can't be finished before its deadline")
             elif self._cannot_resolve_earlier_runs(active, now_s):
                 self._abandon(active, "its earlier runs can't be ruled out in time")
@@ -279,6 +292,11 @@
                 self._refuse(active)
                 self._queue.remove(active)
 
+    def _may_start(self, active: ActiveJob, now_s: float) -> bool:
+        return self._pauses.is_current(active.requested_s) and self._has_resolved_earlier_runs(
+            active, now_s
+        )
+
     def _has_resolved_earlier_runs(self, active: ActiveJob, now_s: float) -> bool:
         """Return whether this host knows every run of the job that can still be alive."""
         if active.earlier is None or self._sessions.knows_earlier_runs(active.earlier):
@@ -305,6 +323,14 @@
             return running
         return running.merge(active.earlier)
 
+    def _give_back(self, active: ActiveJob) -> None:
+        """Answer a job so that only an entry host whose caller still waits submits it again."""
+        if active.may_have_run or active.runs:
+            active.set_answer(TimedOut("the leader was paused"))
+        else:
+            active.set_answer(Moved(None))
+        self._queue.remove(active)
+
     def _abandon(self, active: ActiveJob, reason: str) -> None:
         if active.may_have_run or active.runs:
             active.set_answer(TimedOut(reason))
--- a/packages/execution/src/fireflybridge_execution/_session.py
+++ b/packages/execution/src/fireflybridge_execution/_session.py
@@ -41,6 +41,7 @@
     UpstreamInfo,
     UpstreamState,
 )
+from fireflybridge_pauses import PauseMonitor
 from fireflybridge_placement import (
     Health,
     eject,
@@ -70,8 +71,10 @@
         connector: CommandConnector,
         listener: RunListener,
         live_runs: LiveRuns,
+        pauses: PauseMonitor,
     ) -> None:
         self.info = info
+        self._pauses = pauses
         self._listener = listener
         self.synced = False
         self.asked = False
@@ -129,11 +132,23 @@
         self._listener.availability_changed(self.info.id)
 
     def start(
-        self, task: TaskId, number: int, spec: str, needs: Resources, *, exclusive: bool = False
+        self,
+        task: TaskId,
+        number: int,
+        spec: str,
+        needs: Resources,
+        requested_s: float,
+        *,
+        exclusive: bool = False,
     ) -> None:
-        """Queue the start of a run; the listener is called with the result."""
+        """Queue the start of a run that was requested at a monotonic time.
+
+        The listener is called with the result.
+        """
         now_s = time.monotonic()
-        run = Run(task, number, spec, needs, RunPhase.QUEUED, now_s, exclusive=exclusive)
+        run = Run(
+            task, number, spec, needs, RunPhase.QUEUED, now_s, requested_s, exclusive=exclusive
+        )
         self.runs.add(run)
         self._run_added.set()
         self._queue_sender.send_nowait(run.key)
@@ -316,14 +331,14 @@
         needs = self._listener.orphan_found(self.info.id, found)
         orphan = self.runs.find_orphan(key)
         if needs is not None:
-            self._adopt(Run(*key, "", needs, RunPhase.RUNNING, now_s, now_s, started=True))
+            self._adopt(Run(*key, "", needs, RunPhase.RUNNING, now_s, now_s, now_s, started=True))
         elif orphan is None:
             self.runs.add_orphan(OrphanedRun(found, now_s + ADOPTION_WAIT_S))
             self._run_added.set()
         elif now_s >= orphan.stop_after_s:
             # It stays an orphan, so that its lease isn't extended while the stop may be lost.
             stopping = RunPhase.STOPPING
-            self.runs.add(Run(*key, "", Resources(), stopping, now_s, started=True))
+            self.runs.add(Run(*key, "", Resources(), stopping, now_s, now_s, started=True))
             self._queue_sender.send_nowait(key)
 
     def _adopt(self, run: Run) -> None:
@@ -438,7 +453,7 @@
                 pass
 
     async def _check_and_start(self, connection: CommandConnection, queued: Run) -> None:
-        """Send a start once it is certain that it can't reach an unknown incarnation.
+        """Send a start that can't reach an unknown incarnation and whose sender still waits.
 
         The runs, the clock and the capacity that are known are those of one incarnation. Were a
         start carried out by a later one, the end of the earlier one would say nothing of its run.
@@ -449,8 +464,10 @@
         run = self.runs.find(queued.key)
         if run is None or run.phase is not RunPhase.QUEUED:
             return
-        if is_checked:
-            await self._send_start(connection, replace(run, phase=RunPhase.STARTING))
+        # A pause after this time ends the lease that the start carries, and the upstream refuses it.
+        now_s = time.monotonic()
+        if is_checked and self._pauses.is_current(run.requested_s):
+            await self._send_start(connection, replace(run, phase=RunPhase.STARTING), now_s)
         else:
             self._withdraw(run, None)
 
@@ -479,9 +496,9 @@
         self._report_availability()
         self._run_added.set()
 
-    async def _send_start(self, connection: CommandConnection, run: Run) -> None:
+    async def _send_start(self, connection: CommandConnection, run: Run, now_s: float) -> None:
         self.runs.update(run)
-        lease_until_ms = self._extend_lease(time.monotonic())
+        lease_until_ms = self._extend_lease(now_s)
         if lease_until_ms is None:
             self._withdraw(run, None)
             return
--- a/packages/execution/src/fireflybridge_execution/_session_manager.py
+++ b/packages/execution/src/fireflybridge_execution/_session_manager.py
@@ -15,6 +15,7 @@
 from fireflybridge_execution._run_registry import Run
 from fireflybridge_execution._session import UpstreamSession
 from fireflybridge_jobs import EarlierRuns, UpstreamInfo
+from fireflybridge_pauses import PauseMonitor
 
 UNKNOWN_RUN_LIFETIME_S = 2.0  # lease of an earlier leader plus adoption wait of another new one
 # A leader that is cut off from the store keeps using upstreams whose entries have expired.
@@ -31,12 +32,14 @@
         connector: CommandConnector,
         listener: RunListener,
         on_lost: Callable[[str, Run], None],
+        pauses: PauseMonitor,
     ) -> None:
         """Set the callbacks; ``on_lost`` receives the runs of a closed session when its lease ends."""
         self.live_runs = LiveRuns()
         self._connector = connector
         self._listener = listener
         self._on_lost = on_lost
+        self._pauses = pauses
         self._fences: Mapping[str, int] = {}
         self._upstreams: Mapping[str, UpstreamInfo] = {}
         self._sessions: dict[str, UpstreamSession] = {}
@@ -189,7 +192,9 @@
 
     def _open(self, info: UpstreamInfo, group: TaskGroup) -> None:
         fence = self._fences[info.failure_domain]
-        session = UpstreamSession(info, fence, self._connector, self._listener, self.live_runs)
+        session = UpstreamSession(
+            info, fence, self._connector, self._listener, self.live_runs, self._pauses
+        )
         self._sessions[info.id] = session
         if time.monotonic() < self._led_since_s[info.failure_domain] + TERM_START_S:
             self._unasked.add(session)
--- a/packages/host/src/fireflybridge_host/_event_logger.py
+++ b/packages/host/src/fireflybridge_host/_event_logger.py
@@ -224,6 +224,10 @@
         """Log a start, a reload, the start of a drain or a stop."""
         self._log.info(message, event_id=event_id, **fields)
 
+    def record_pause(self, paused_s: float) -> None:
+        """Log that this process was paused, in seconds."""
+        self._log.warning("process was paused", event_id=7005, paused_s=round(paused_s, 2))
+
     def _record_placements(self, event: TasksPlaced) -> None:
         self.counters.runs += len(event.placements)
         self._log.info(
--- a/packages/host/src/fireflybridge_host/_host.py
+++ b/packages/host/src/fireflybridge_host/_host.py
@@ -29,11 +29,13 @@
 from fireflybridge_http import Request, Response, Server, ServerLimits
 from fireflybridge_jobs import Answer
 from fireflybridge_leadership import Holder, Leadership, TermStore
+from fireflybridge_pauses import PauseMonitor
 from fireflybridge_placement import CrashHistory
 
 UNREADY_LISTEN_S = 1.0  # the load balancer takes this long to notice that the host isn't ready
 DRAIN_CHECK_INTERVAL_S = 0.05
 RESTART_DELAY_S = 0.5  # keeps a task that fails at once from using up the processor
+RETRANSMISSION_MARGIN_S = 1.0
 MAX_PEER_BODY_BYTES = 8 * 1024 * 1024  # a job with the largest body, encoded for another host
 
 
@@ -81,18 +83,22 @@
         peer = Peer(holder, settings.failure_domain, settings.strength)
         self._leadership = Leadership(ports.terms, self._event_logger.record_store_error)
         self._route_table = RouteTable()
+        self._pauses = PauseMonitor()
         crashes = CrashHistory()
         self._scheduler = Scheduler(
             ports.commands,
             self._event_logger.record_execution,
             self._leadership.changed.notify,
+            self._pauses,
             crashes,
         )
         self._directory = UpstreamDirectory(
             ports.directory, self._scheduler.set_upstreams, self._event_logger.record_store_error
         )
-        self._submitter = JobSubmitter(settings.name, self._scheduler)
-        self._peer_service = PeerService(peer, self._scheduler, self._leadership, crashes)
+        self._submitter = JobSubmitter(settings.name, self._scheduler, self._pauses)
+        self._peer_service = PeerService(
+            peer, self._scheduler, self._leadership, self._pauses, crashes
+        )
         self._election = LeaderElection(
             settings,
             holder,
@@ -111,19 +117,21 @@
         self._caller_server = Server(
             settings.callers_address, front_end.handle, _make_server_limits(Limits()), report
         )
+        self._peer_server = Server(
+            settings.peer_address,
+            self._peer_service.handle,
+            ServerLimits(max_body_bytes=MAX_PEER_BODY_BYTES),
+            report,
+        )
         metrics = MetricsService(self._event_logger.counters, count_dropped)
         self._servers = (
             self._caller_server,
             Server(settings.ready_address, self._handle_readiness, ServerLimits(), report),
-            Server(
-                settings.peer_address,
-                self._peer_service.handle,
-                ServerLimits(max_body_bytes=MAX_PEER_BODY_BYTES),
-                report,
-            ),
+            self._peer_server,
             Server(settings.metrics_address, metrics.handle, ServerLimits(), report),
         )
         self._tasks: Mapping[str, Callable[[], Awaitable[None]]] = {
+            "pauses of the process": self._watch_pauses,
             "log of terms": self._leadership.follow,
             "directory of upstreams": self._directory.follow,
             "configuration": self._follow_configuration,
@@ -156,6 +164,25 @@
                 self._event_logger.record_unexpected_error(name, error)
                 await anyio.sleep(RESTART_DELAY_S)
 
+    async def _watch_pauses(self) -> None:
+        await self._pauses.watch(self._handle_pause)
+
+    async def _handle_pause(self, paused_s: float) -> None:
+        """Find out which connections may hold requests from before the end of a pause.
+
+        What a network holds for a machine that didn't reply is sent again after less than the time
+        that has passed since the first try.
+        """
+        self._event_logger.record_pause(paused_s)
+        servers = (self._caller_server, self._peer_server)
+        resumed_s = time.monotonic()
+        for server in servers:
+            await server.read_backlog()
+        await anyio.sleep(paused_s + RETRANSMISSION_MARGIN_S)
+        if self._pauses.is_current(resumed_s):
+            for server in servers:
+                server.trust_idle_connections()
+
     async def _follow_configuration(self) -> None:
         await self._route_table.follow(
             self._ports.configuration,
--- a/packages/http/src/fireflybridge_http/_client.py
+++ b/packages/http/src/fireflybridge_http/_client.py
@@ -10,7 +10,7 @@
 from fireflybridge_http._encoding import encode_request
 from fireflybridge_http._messages import Request, Response
 from fireflybridge_http._parsing import ParseError, ResponseParser
-from fireflybridge_http._streams import open_stream, receive_some
+from fireflybridge_http._streams import find_system_error, open_stream, receive_some
 
 CONNECT_TIMEOUT_S = 0.5  # several round trips on a loaded link
 
@@ -124,7 +124,7 @@
         try:
             opened = await open_stream(self._host, self._port, CONNECT_TIMEOUT_S)
         except OSError as error:
-            raise _find_system_error(error) from error
+            raise find_system_error(error) from error
         self._stream = opened.stream
         self.openings += 1
         opened.raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -145,9 +145,3 @@
             if parser.response is None:
                 raise anyio.EndOfStream
         return parser.response
-
-
-def _find_system_error(error: OSError) -> OSError:
-    # anyio reports a failed connection as an OSError whose cause is the system's error.
-    cause = error.__cause__
-    return cause if isinstance(cause, OSError) else error
--- a/packages/http/src/fireflybridge_http/_messages.py
+++ b/packages/http/src/fireflybridge_http/_messages.py
@@ -11,6 +11,8 @@
     target: str
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b""
+    sent_after_s: float = 0.0
+    """Monotonic time before which the client of a server hadn't sent it."""
 
     @property
     def path(self) -> str:
--- a/packages/http/src/fireflybridge_http/_server_connection.py
+++ b/packages/http/src/fireflybridge_http/_server_connection.py
@@ -2,7 +2,7 @@
 
 import time
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import anyio
 from anyio.abc import SocketStream
@@ -39,7 +39,9 @@
         get_limits: Callable[[], ServerLimits],
         is_draining: Callable[[], bool],
         report_failure: FailureReporter,
+        opened_after_s: float,
     ) -> None:
+        """Serve a connection that the client had not opened before a monotonic time."""
         self.busy = False
         """Whether a request was received and its response is not yet sent."""
         self._stream = stream
@@ -47,6 +49,7 @@
         self._get_limits = get_limits
         self._is_draining = is_draining
         self._report_failure = report_failure
+        self._sent_after_s = opened_after_s
         limits = get_limits()
         self._parser = RequestParser(limits.max_header_bytes, limits.max_body_bytes)
         self._error: ParseError | None = None
@@ -55,6 +58,11 @@
         self._waiting_since_s = time.monotonic()
         self._reading = anyio.CancelScope()
 
+    def trust_if_idle(self) -> None:
+        """Note that the client had not sent the next request before now, unless it has begun."""
+        if not self.busy and not self._parser.in_request:
+            self._sent_after_s = time.monotonic()
+
     async def serve(self) -> None:
         """Answer requests until the connection ends."""
         async with self._stream, anyio.create_task_group() as group:
@@ -140,7 +148,7 @@
                 assert self._error is not None
                 await self._send(Response(self._error.status), close=True)
                 return
-            request = self._parser.requests.popleft()
+            request = replace(self._parser.requests.popleft(), sent_after_s=self._sent_after_s)
             self._taken.set()
             response = await self._handle(request)
             last = not (self._parser.requests or self._error)
@@ -150,7 +158,7 @@
                 return
             self.busy = not last
             if last and not self._parser.in_request:
-                self._waiting_since_s = time.monotonic()
+                self._waiting_since_s = self._sent_after_s = time.monotonic()
 
     async def _handle(self, request: Request) -> Response:
         try:
--- a/packages/http/src/fireflybridge_http/_streams.py
+++ b/packages/http/src/fireflybridge_http/_streams.py
@@ -35,3 +35,9 @@
         return await stream.receive(RECEIVE_BYTES)
     except anyio.EndOfStream:
         return b""
+
+
+def find_system_error(error: OSError) -> OSError:
+    """Return the system's error, which anyio reports as the cause of a failed connection."""
+    cause = error.__cause__
+    return cause if isinstance(cause, OSError) else error
--- a/packages/jobs/src/fireflybridge_jobs/_answers.py
+++ b/packages/jobs/src/fireflybridge_jobs/_answers.py
@@ -16,6 +16,8 @@
     TOO_LONG = "too-long"
     UNSUPPORTED = "unsupported"
     DRAINING = "draining"
+    PAUSED = "paused"
+    """The host was paused, so the request may be old and its caller may have left."""
 
 
 @dataclass(frozen=True, slots=True)
