Start runs only by entries of the directory that were read recently

Cause: a start rests on an entry of the directory, and nobody asked how old it was. A host that doesn't lead reads the directory each 3 s, and a new leader opened its sessions and placed tasks by that view while its own read was under way. Ruled out: a change that the new read misses; the scenario that holds it back starts on the other upstream once it returns.

StartGate admits a start only by a view that was read at most 1.5 s ago, or if the store doesn't answer: a host that is cut off serves on with what it knows. The session asks when a start is sent, the scheduler before it places tasks. A host reads the directory as soon as it has lost its leader, beside its claim.

The first start on a connection now takes one more round trip, for the hold before it.

The in-memory tests have one view for their whole length, so it says that no store answers after it; without that they would stop starting runs after 1.5 s.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -113,7 +113,9 @@
     async with anyio.create_task_group() as group:
         group.start_soon(scheduler.serve)
         scheduler.lead({"z1": 1000})
-        scheduler.set_upstreams(DirectoryView(describe_upstreams(count), time.monotonic()))
+        # Without a store that answers, the view stays in use.
+        view = DirectoryView(describe_upstreams(count), time.monotonic(), store_answers=False)
+        scheduler.set_upstreams(view)
         while not all(session.synced for session in scheduler._sessions):
             await anyio.sleep(0.05)
         busy = make_job(1, ENDLESS, count // 2, LONG_ESTIMATE_MS)
--- a/features/steps/crashes.py
+++ b/features/steps/crashes.py
@@ -1,6 +1,5 @@
 """Steps on tasks that crash the upstreams that start them."""
 
-import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import replace
@@ -15,11 +14,12 @@
     EndlessConnector,
     describe_upstreams,
     make_job,
+    read_once,
     wait_until,
 )
 
 from fireflybridge_entry import LeaderMonitor, Peer, PeerService
-from fireflybridge_execution import DirectoryView, Scheduler
+from fireflybridge_execution import Scheduler
 from fireflybridge_http import Connection, Request, Response
 from fireflybridge_jobs import Crash, Failed, Job, Succeeded, TaskId, UpstreamState
 from fireflybridge_leadership import Holder, Leadership, Term
@@ -70,7 +70,7 @@
     async with anyio.create_task_group() as group:
         group.start_soon(scheduler.serve)
         scheduler.lead({"z1": 1000})
-        scheduler.set_upstreams(DirectoryView(context.infos, time.monotonic()))
+        scheduler.set_upstreams(read_once(context.infos))
         await wait_until(lambda: all(session.synced for session in scheduler._sessions))
         yield scheduler
         group.cancel_scope.cancel()
@@ -179,7 +179,7 @@
         case "leaves after a drain":
             draining = replace(context.infos[name], state=UpstreamState.DRAINING)
             context.infos = {**context.infos, name: draining}
-            scheduler.set_upstreams(DirectoryView(context.infos, time.monotonic()))
+            scheduler.set_upstreams(read_once(context.infos))
             upstream.crash()
         case _:
             raise ValueError(event)
--- a/features/steps/decisions.py
+++ b/features/steps/decisions.py
@@ -1,6 +1,5 @@
 """Steps for the scheduling and leadership decisions of a leader, without host processes."""
 
-import time
 from dataclasses import replace
 from itertools import permutations
 
@@ -8,8 +7,9 @@
 from behave import given, then, when
 from behave.runner import Context
 from support.terms import HangingPollLog
+from support.upstreams import read_once
 
-from fireflybridge_execution import Accepted, DirectoryView, Hold, Scheduler, Start, Stop
+from fireflybridge_execution import Accepted, Hold, Scheduler, Start, Stop
 from fireflybridge_jobs import (
     EarlierRuns,
     EndedRun,
@@ -390,7 +390,7 @@
     async with anyio.create_task_group() as group:
         group.start_soon(scheduler.serve)
         scheduler.lead({"z1": 1000})
-        scheduler.set_upstreams(DirectoryView(infos, time.monotonic()))
+        scheduler.set_upstreams(read_once(infos))
         await anyio.sleep(EARLIER_RUNS_EXPIRED_S)
         group.start_soon(submit_job, context, scheduler, EarlierRuns({"z2": 500}))
         await anyio.sleep(BEFORE_NEXT_TERM_S)
@@ -450,14 +450,14 @@
     scheduler = make_scheduler(context)
     async with anyio.create_task_group() as group:
         group.start_soon(scheduler.serve)
-        scheduler.set_upstreams(DirectoryView(infos, time.monotonic()))
-        scheduler.set_upstreams(DirectoryView(remaining, time.monotonic()))
+        scheduler.set_upstreams(read_once(infos))
+        scheduler.set_upstreams(read_once(remaining))
         scheduler.lead({"z1": 1000, "z2": 2000})
-        scheduler.set_upstreams(DirectoryView(remaining, time.monotonic()))
+        scheduler.set_upstreams(read_once(remaining))
         group.start_soon(submit_job, context, scheduler, earlier)
         await anyio.sleep(BEFORE_NEXT_TERM_S)
         record_early_starts(context)
-        scheduler.set_upstreams(DirectoryView(infos, time.monotonic()))
+        scheduler.set_upstreams(read_once(infos))
         await wait_for_answer(context)
         group.cancel_scope.cancel()
 
@@ -485,12 +485,12 @@
     async with anyio.create_task_group() as group:
         group.start_soon(scheduler.serve)
         scheduler.lead({"z1": 1000, "z2": 2000})
-        scheduler.set_upstreams(DirectoryView({"z1": infos["z1"]}, time.monotonic()))
+        scheduler.set_upstreams(read_once({"z1": infos["z1"]}))
         group.start_soon(submit_job, context, scheduler, None)
         with anyio.move_on_after(5):
             while len(context.upstreams["z1"].started) < 2:
                 await anyio.sleep(0.01)
-        scheduler.set_upstreams(DirectoryView(infos, time.monotonic()))
+        scheduler.set_upstreams(read_once(infos))
         scheduler.lead({})
         await wait_for_answer(context)
         group.cancel_scope.cancel()
@@ -550,7 +550,7 @@
     async with anyio.create_task_group() as group:
         group.start_soon(scheduler.serve)
         scheduler.lead({"z1": 1000})
-        scheduler.set_upstreams(DirectoryView({"u1": info}, time.monotonic()))
+        scheduler.set_upstreams(read_once({"u1": info}))
         with anyio.move_on_after(5):
             while len(upstream.holds) < 3:
                 await anyio.sleep(0.01)
--- a/features/steps/earlier_runs.py
+++ b/features/steps/earlier_runs.py
@@ -1,17 +1,22 @@
 """Steps on what a new leader learns of the runs that an earlier one started."""
 
-import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
 import anyio
 from behave import then, when
 from behave.runner import Context
-from support.upstreams import WAIT_LIMIT_S, EndlessConnector, EndlessUpstream, make_job, wait_until
+from support.upstreams import (
+    WAIT_LIMIT_S,
+    EndlessConnector,
+    EndlessUpstream,
+    make_job,
+    read_once,
+    wait_until,
+)
 
 from fireflybridge_execution import (
     Accepted,
-    DirectoryView,
     ExecutionEvent,
     Hold,
     Rejected,
@@ -55,7 +60,7 @@
     async with anyio.create_task_group() as group:
         group.start_soon(scheduler.serve)
         scheduler.lead({"z1": fence})
-        scheduler.set_upstreams(DirectoryView(context.infos, time.monotonic()))
+        scheduler.set_upstreams(read_once(context.infos))
         yield scheduler
         group.cancel_scope.cancel()
 
--- a/features/steps/free_upstreams.py
+++ b/features/steps/free_upstreams.py
@@ -1,6 +1,5 @@
 """Steps on the index of free upstreams and how a scheduler keeps it up to date."""
 
-import time
 from collections import Counter
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -21,10 +20,11 @@
     EndlessUpstream,
     describe_upstreams,
     make_job,
+    read_once,
     wait_until,
 )
 
-from fireflybridge_execution import Accepted, DirectoryView, Scheduler, Stop
+from fireflybridge_execution import Accepted, Scheduler, Stop
 from fireflybridge_jobs import (
     Answer,
     EarlierRuns,
@@ -152,7 +152,7 @@
     async with anyio.create_task_group() as group:
         group.start_soon(scheduler.serve)
         scheduler.lead({"z1": 1000})
-        scheduler.set_upstreams(DirectoryView(context.infos, time.monotonic()))
+        scheduler.set_upstreams(read_once(context.infos))
         group.start_soon(submit, make_job("a", tasks))
         running = connector.upstreams.values
         await wait_until(lambda: sum(len(u.running) for u in running()) >= tasks)
@@ -211,7 +211,7 @@
 
 def set_capacity(context: Context, scheduler: Scheduler, capacity: Resources) -> None:
     infos = {name: replace(info, capacity=capacity) for name, info in context.infos.items()}
-    scheduler.set_upstreams(DirectoryView(infos, time.monotonic()))
+    scheduler.set_upstreams(read_once(infos))
 
 
 async def submit_waiting(scheduler: Scheduler, job: Job) -> None:
--- a/features/steps/incarnations.py
+++ b/features/steps/incarnations.py
@@ -1,6 +1,5 @@
 """Steps on upstreams that restart under their ids."""
 
-import time
 from itertools import combinations, groupby
 from operator import attrgetter
 
@@ -8,10 +7,10 @@
 from behave import given, then, when
 from behave.runner import Context
 from support.restarts import RUN_S, RestartableUpstream, StartedRun
-from support.upstreams import NEEDS, make_job, wait_until
+from support.upstreams import NEEDS, make_job, read_once, wait_until
 
 from fireflybridge_adapter._commands import HttpCommandConnector
-from fireflybridge_execution import DirectoryView, Scheduler
+from fireflybridge_execution import Scheduler
 from fireflybridge_execution._evidence import (
     Evidence,
     IncarnationEnded,
@@ -62,7 +61,7 @@
         group.start_soon(scheduler.serve)
         scheduler.lead({"z1": 1000})
         info = upstream.describe()
-        scheduler.set_upstreams(DirectoryView({info.id: info}, time.monotonic()))
+        scheduler.set_upstreams(read_once({info.id: info}))
         await wait_until(lambda: scheduler.has_synced_upstream)
         await run_job(scheduler)
         await upstream.restart(group)
--- a/features/steps/leader_election.py
+++ b/features/steps/leader_election.py
@@ -149,7 +149,7 @@
         monitor,
         submitter,
         scheduler,
-        SimpleNamespace(set_leading=ignore),
+        SimpleNamespace(set_leading=ignore, refresh_soon=ignore, note_silence=ignore),
         SimpleNamespace(find_strongest=ignore),
         EventLogger(),
     )
--- a/features/steps/old_requests.py
+++ b/features/steps/old_requests.py
@@ -12,7 +12,7 @@
 import anyio
 from behave import given, then, when
 from behave.runner import Context
-from support.upstreams import EndlessConnector, describe_upstreams, make_job, wait_until
+from support.upstreams import EndlessConnector, describe_upstreams, make_job, read_once, wait_until
 
 from fireflybridge_entry import JobSubmitter, LocalLeader, Peer, PeerService, RemoteLeader
 from fireflybridge_entry._codec import (
@@ -21,7 +21,7 @@
     encode_heartbeat,
     encode_submission,
 )
-from fireflybridge_execution import Accepted, DirectoryView, Hold, Scheduler, Start
+from fireflybridge_execution import Accepted, Hold, Scheduler, Start
 from fireflybridge_http import ConnectionPool, Request, Response, Server, ServerLimits
 from fireflybridge_jobs import (
     Answer,
@@ -77,7 +77,7 @@
             self.address = await group.start(self.server.serve, group)
             self.scheduler.lead({"z1": 1000})
             infos = describe_upstreams(1)
-            self.scheduler.set_upstreams(DirectoryView(infos, time.monotonic()))
+            self.scheduler.set_upstreams(read_once(infos))
             await wait_until(lambda: self.scheduler.has_synced_upstream)
             yield self
             group.cancel_scope.cancel()
--- a/features/steps/superseded.py
+++ b/features/steps/superseded.py
@@ -5,11 +5,10 @@
 import anyio
 from behave import then, when
 from behave.runner import Context
-from support.upstreams import EndlessConnector, EndlessUpstream, make_job, wait_until
+from support.upstreams import EndlessConnector, EndlessUpstream, make_job, read_once, wait_until
 
 from fireflybridge_execution import (
     Accepted,
-    DirectoryView,
     Hold,
     Rejected,
     RejectionReason,
@@ -79,7 +78,7 @@
     async with anyio.create_task_group() as group:
         group.start_soon(scheduler.serve)
         scheduler.lead({"z1": 1000})
-        scheduler.set_upstreams(DirectoryView(context.infos, time.monotonic()))
+        scheduler.set_upstreams(read_once(context.infos))
         await wait_until(lambda: len(connector.upstreams) == len(context.infos))
         await anyio.sleep(0.1)
         for upstream in connector.upstreams.values():
--- a/features/support/upstreams.py
+++ b/features/support/upstreams.py
@@ -1,10 +1,11 @@
 """In-memory upstreams whose runs end when a test says so."""
 
-from collections.abc import Callable
+import time
+from collections.abc import Callable, Mapping
 
 import anyio
 
-from fireflybridge_execution import Accepted, Hold, Start, Stop
+from fireflybridge_execution import Accepted, DirectoryView, Hold, Start, Stop
 from fireflybridge_http import ExchangeError, ExchangeStep
 from fireflybridge_jobs import (
     EndedRun,
@@ -128,6 +129,11 @@
     return {name: UpstreamInfo(name, "desk", "u:1", "z1", ready, CAPACITY) for name in names}
 
 
+def read_once(infos: Mapping[str, UpstreamInfo]) -> DirectoryView:
+    """Return a view of the directory that stays in use, since no store answers after it."""
+    return DirectoryView(infos, time.monotonic(), store_answers=False)
+
+
 def make_job(name: str, tasks: int) -> Job:
     policy = RoutePolicy("orders", "desk", 0, 3, 60000, 1000, 1.6)
     return Job(name * 16, "work", (Step(tasks, NEEDS, 500),), policy, 60000)
--- a/packages/execution/src/fireflybridge_execution/_scheduler.py
+++ b/packages/execution/src/fireflybridge_execution/_scheduler.py
@@ -26,6 +26,7 @@
 from fireflybridge_execution._recent_ends import RecentEnds
 from fireflybridge_execution._run_registry import Run
 from fireflybridge_execution._session_manager import SessionManager
+from fireflybridge_execution._start_gate import StartGate
 from fireflybridge_jobs import (
     Answer,
     Crash,
@@ -69,8 +70,8 @@
     ) -> None:
         self._on_event = on_event
         self._on_superseded = on_superseded
-        self._pauses = pauses
-        self._sessions = SessionManager(connector, self, self.run_lost, pauses)
+        self._gate = StartGate(pauses)
+        self._sessions = SessionManager(connector, self, self.run_lost, self._gate)
         self._crashes = CrashHistory() if crashes is None else crashes
         self._placer = Placer(self._sessions, self._crashes)
         self._queue = JobQueue()
@@ -132,7 +133,7 @@
         ``Moved``, so that the entry host sends it again if its caller still waits.
         """
         now_s = time.monotonic()
-        if not self._pauses.is_current(now_s):
+        if not self._gate.holds_request(now_s):
             return Moved(earlier)
         active = self._jobs.get(job.id)
         if active is None:
@@ -277,7 +278,7 @@
         """
         now_s = time.monotonic()
         for active in self._queue.list_first():
-            if not self._pauses.is_current(active.requested_s):
+            if not self._gate.holds_request(active.requested_s):
                 self._give_back(active)
             elif self._placer.will_miss_deadline(active, now_s):
                 self._abandon(active, "can't be finished before its deadline")
@@ -293,7 +294,7 @@
                 self._queue.remove(active)
 
     def _may_start(self, active: ActiveJob, now_s: float) -> bool:
-        return self._pauses.is_current(active.requested_s) and self._has_resolved_earlier_runs(
+        return self._gate.admits(active.requested_s) and self._has_resolved_earlier_runs(
             active, now_s
         )
 
--- a/packages/execution/src/fireflybridge_execution/_session.py
+++ b/packages/execution/src/fireflybridge_execution/_session.py
@@ -30,6 +30,7 @@
 from fireflybridge_execution._live_runs import LiveRuns
 from fireflybridge_execution._run_listener import RunListener
 from fireflybridge_execution._run_registry import OrphanedRun, Run, RunKey, RunPhase, RunRegistry
+from fireflybridge_execution._start_gate import StartGate
 from fireflybridge_http import ExchangeError
 from fireflybridge_jobs import (
     EndedRun,
@@ -41,7 +42,6 @@
     UpstreamInfo,
     UpstreamState,
 )
-from fireflybridge_pauses import PauseMonitor
 from fireflybridge_placement import (
     Health,
     eject,
@@ -71,10 +71,10 @@
         connector: CommandConnector,
         listener: RunListener,
         live_runs: LiveRuns,
-        pauses: PauseMonitor,
+        gate: StartGate,
     ) -> None:
         self.info = info
-        self._pauses = pauses
+        self._gate = gate
         self._listener = listener
         self.synced = False
         self.asked = False
@@ -466,7 +466,7 @@
             return
         # A pause after this time ends the lease that the start carries, and the upstream refuses it.
         now_s = time.monotonic()
-        if is_checked and self._pauses.is_current(run.requested_s):
+        if is_checked and self._gate.admits(run.requested_s):
             await self._send_start(connection, replace(run, phase=RunPhase.STARTING), now_s)
         else:
             self._withdraw(run, None)
--- a/packages/execution/src/fireflybridge_execution/_session_manager.py
+++ b/packages/execution/src/fireflybridge_execution/_session_manager.py
@@ -14,8 +14,8 @@
 from fireflybridge_execution._run_listener import RunListener
 from fireflybridge_execution._run_registry import Run
 from fireflybridge_execution._session import UpstreamSession
+from fireflybridge_execution._start_gate import StartGate
 from fireflybridge_jobs import EarlierRuns, UpstreamInfo
-from fireflybridge_pauses import PauseMonitor
 
 UNKNOWN_RUN_LIFETIME_S = 2.0  # lease of an earlier leader plus adoption wait of another new one
 # A leader that is cut off from the store keeps using upstreams whose entries have expired.
@@ -32,22 +32,20 @@
         connector: CommandConnector,
         listener: RunListener,
         on_lost: Callable[[str, Run], None],
-        pauses: PauseMonitor,
+        gate: StartGate,
     ) -> None:
         """Set the callbacks; ``on_lost`` receives the runs of a closed session when its lease ends."""
         self.live_runs = LiveRuns()
         self._connector = connector
         self._listener = listener
         self._on_lost = on_lost
-        self._pauses = pauses
+        self._gate = gate
         self._fences: Mapping[str, int] = {}
-        self._upstreams: Mapping[str, UpstreamInfo] = {}
         self._sessions: dict[str, UpstreamSession] = {}
         self._unasked: set[UpstreamSession] = set()
         """Sessions opened at the start of a term, as far as their upstreams have not replied yet."""
         self._created_s = time.monotonic()
         self._led_since_s: dict[str, float] = {}
-        self._read_s = 0.0
         self._last_removal_s: dict[str, float] = {}
         self._retired: set[UpstreamSession] = set()
         self._group: TaskGroup | None = None
@@ -81,7 +79,7 @@
     @property
     def upstream_count(self) -> int:
         """Return how many upstreams the directory lists, whoever leads them."""
-        return len(self._upstreams)
+        return len(self._gate.view.upstreams)
 
     def compute_unknown_runs_expiry(self, submitted_s: float) -> float:
         """Return when the last unknown run of a resubmitted job must have ended or been reported.
@@ -123,7 +121,7 @@
         """
         return (
             domain in self._fences
-            and self._read_s > self._led_since_s[domain]
+            and self._gate.view.read_s > self._led_since_s[domain]
             and time.monotonic()
             > self._last_removal_s.get(domain, self._created_s) + REMOVED_UPSTREAM_WAIT_S
         )
@@ -156,19 +154,18 @@
 
     def set_upstreams(self, view: DirectoryView) -> None:
         """Apply the newest view of the directory."""
-        self._read_s = view.read_s
-        if view.upstreams == self._upstreams:
+        known = self._gate.view.upstreams
+        self._gate.view = view
+        if view.upstreams == known:
             return
-        removed = self._upstreams.keys() - view.upstreams.keys()
-        domains = {self._upstreams[name].failure_domain for name in removed}
+        domains = {known[name].failure_domain for name in known.keys() - view.upstreams.keys()}
         self._last_removal_s.update(dict.fromkeys(domains, time.monotonic()))
-        self._upstreams = view.upstreams
         self._reconcile()
 
     def _reconcile(self) -> None:
         wanted = {
             upstream.id: upstream
-            for upstream in self._upstreams.values()
+            for upstream in self._gate.view.upstreams.values()
             if upstream.failure_domain in self._fences
         }
         for name, session in list(self._sessions.items()):
@@ -193,7 +190,7 @@
     def _open(self, info: UpstreamInfo, group: TaskGroup) -> None:
         fence = self._fences[info.failure_domain]
         session = UpstreamSession(
-            info, fence, self._connector, self._listener, self.live_runs, self._pauses
+            info, fence, self._connector, self._listener, self.live_runs, self._gate
         )
         self._sessions[info.id] = session
         if time.monotonic() < self._led_since_s[info.failure_domain] + TERM_START_S:
--- a/packages/host/src/fireflybridge_host/_election.py
+++ b/packages/host/src/fireflybridge_host/_election.py
@@ -136,8 +136,13 @@
     async def _claim(self, domains: tuple[str, ...]) -> ClaimResult:
         result = await self._leadership.claim(domains, self._holder)
         self._event_logger.record_claim(domains, result)
-        if result is ClaimResult.WON:
-            self._renewals = 0
+        match result:
+            case ClaimResult.WON:
+                self._renewals = 0
+            case ClaimResult.UNREACHABLE:
+                self._directory.note_silence()
+            case ClaimResult.CONFLICT:
+                pass
         return result
 
     async def _lead(self, term: Term) -> None:
@@ -278,6 +283,7 @@
 
     async def _replace_leader(self, lost: Term) -> None:
         """Claim the failure domain until it has another leader or the lost one replies again."""
+        self._directory.refresh_soon()
         while self._leadership.terms.get(self._domain) == lost:
             if not self._draining:
                 result = await self._claim_own_domain()
