--- a/features/steps/directory_age.py
+++ b/features/steps/directory_age.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field, replace
 
 import anyio
+from anyio.abc import TaskGroup
 from behave import given, then, when
 from behave.runner import Context
 from support.upstreams import EndlessConnector, describe_upstreams, make_job, wait_until
@@ -26,7 +27,6 @@
 JOB = replace(_job, policy=replace(_job.policy, target_latency_ms=30000))
 DRAINED_S = 2.1
 HELD_BACK_S = 0.3
-START_LIMIT_S = 0.5
 
 
 @dataclass(slots=True)
@@ -39,6 +39,7 @@
     fails: bool = False
     reads: int = 0
     makes_outdated: bool = False
+    """Whether each placement is followed by a view that is too old."""
     scheduler: Scheduler = field(init=False)
     directory: UpstreamDirectory = field(init=False)
 
@@ -87,6 +88,19 @@
     context.host = DirectoryHost(describe_upstreams(count))
 
 
+async def submit_around_read(context: Context, group: TaskGroup) -> None:
+    """Submit a job while a read is held back, and let the read return after a while."""
+    host: DirectoryHost = context.host
+    group.start_soon(host.scheduler.submit, JOB, 0.0, None)
+    await anyio.sleep(HELD_BACK_S)
+    context.early_starts = host.starts
+    host.makes_outdated = False
+    host.held_back = False
+    await wait_until(lambda: sum(host.starts.values()))
+    context.starts = host.starts
+    group.cancel_scope.cancel()
+
+
 @when(
     "one of them drains, and {drained_s:g} s later the host begins to lead while its next read is"
     " held back"
@@ -100,13 +114,7 @@
             await anyio.sleep(drained_s)
             host.held_back = True
             await host.lead()
-            group.start_soon(host.scheduler.submit, JOB, 0.0, None)
-            await anyio.sleep(HELD_BACK_S)
-            context.early_starts = host.starts
-            host.held_back = False
-            await wait_until(lambda: sum(host.starts.values()))
-            context.starts = host.starts
-            group.cancel_scope.cancel()
+            await submit_around_read(context, group)
 
     anyio.run(run)
 
@@ -157,13 +165,7 @@
             await host.lead()
             host.held_back = True
             await anyio.sleep(DRAINED_S)
-            group.start_soon(host.scheduler.submit, JOB, 0.0, None)
-            await anyio.sleep(HELD_BACK_S)
-            context.early_starts = host.starts
-            host.held_back = False
-            await wait_until(lambda: sum(host.starts.values()))
-            context.starts = host.starts
-            group.cancel_scope.cancel()
+            await submit_around_read(context, group)
 
     anyio.run(run)
 
@@ -176,13 +178,6 @@
             await host.lead()
             host.held_back = True
             host.makes_outdated = True
-            group.start_soon(host.scheduler.submit, JOB, 0.0, None)
-            await anyio.sleep(HELD_BACK_S)
-            context.early_starts = host.starts
-            host.makes_outdated = False
-            host.held_back = False
-            await wait_until(lambda: sum(host.starts.values()))
-            context.starts = host.starts
-            group.cancel_scope.cancel()
+            await submit_around_read(context, group)
 
     anyio.run(run)
