Submit a job to two hosts at once over connections that are open before

Its log lines show why: the second request reached its host 1.6 s and 1.04 s after the first, when that had been answered, so the job had ended and ran again, which is allowed for a job that isn't kept. The callers' threads were late, and the submissions were not at once as the scenario says. The step now opens both connections first and then sends both requests; the checks are the same.

--- a/features/steps/site.py
+++ b/features/steps/site.py
@@ -180,9 +180,12 @@
 @when("one job of {tasks:d} tasks is submitted to two hosts at once")
 def _(context: Context, tasks: int) -> None:
     job = "00000000000000aa"
-    context.jobs = [
-        (host, context.deployment.submit_later(host, tasks, job)) for host in ("h1", "h2")
-    ]
+    deployment = context.deployment
+    # A caller's thread that is slow to connect would submit the job after its first answer.
+    connections = {host: deployment.connect(host) for host in ("h1", "h2")}
+    for connection in connections.values():
+        deployment.send(connection, tasks, job)
+    context.jobs = [(host, deployment.receive_later(c)) for host, c in connections.items()]
 
 
 @when("a caller disconnects {after_ms:d} ms after it submitted a job of {tasks:d} tasks")
--- a/features/support/site.py
+++ b/features/support/site.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterator
 from concurrent.futures import Future, ThreadPoolExecutor
 from dataclasses import dataclass, field
+from http.client import HTTPConnection
 from itertools import combinations, count
 from pathlib import Path
 from typing import Any
@@ -20,6 +21,7 @@
 
 TASK = {"cpu": 6800, "mem_mb": 64, "estimate_ms": 50}
 TIMEOUT_MS = 3000
+HEADERS = {"host": "desk.example", "x-deadline-ms": str(TIMEOUT_MS)}
 ADDRESSES_PER_DEPLOYMENT = 8
 LONGEST_ESTIMATE_MS = 800
 REPEATED_STATUSES = frozenset({0, 502, 503, 504})
@@ -170,20 +172,34 @@
         spec: str = "work",
     ) -> Answer:
         """Submit a job and return its answer, or disconnect after ``timeout_s``."""
-        body = {
-            "spec": spec,
-            "best_effort": True,
-            "steps": [{"count": tasks, **TASK, "estimate_ms": self.estimate_ms}],
-        }
         url = f"http://{self.find_ip(host)}:8161/orders/{job or uuid.uuid4().hex[:16]}"
-        headers = {"host": "desk.example", "x-deadline-ms": str(TIMEOUT_MS)}
+        body = self._describe_job(tasks, spec)
         try:
-            response = httpx.post(url, json=body, headers=headers, timeout=timeout_s)
+            response = httpx.post(url, json=body, headers=HEADERS, timeout=timeout_s)
         except httpx.HTTPError:
             return Answer(0)
         state = response.json()["state"] if response.status_code == 200 else ""
         return Answer(response.status_code, state, response.headers.get("retry-after", ""))
 
+    def _describe_job(self, tasks: int, spec: str) -> dict[str, object]:
+        step = {"count": tasks, **TASK, "estimate_ms": self.estimate_ms}
+        return {"spec": spec, "best_effort": True, "steps": [step]}
+
+    def connect(self, host: str) -> HTTPConnection:
+        """Open a caller's connection to a host."""
+        connection = HTTPConnection(self.find_ip(host), 8161, timeout=TIMEOUT_MS / 1000 + 1)
+        connection.connect()
+        return connection
+
+    def send(self, connection: HTTPConnection, tasks: int, job: str) -> None:
+        """Send a job over a caller's connection without waiting for the answer."""
+        body = json.dumps(self._describe_job(tasks, "work"))
+        connection.request("POST", f"/orders/{job}", body, HEADERS)
+
+    def receive_later(self, connection: HTTPConnection) -> "Future[Answer]":
+        """Receive the answer over a caller's connection in another thread."""
+        return self._callers.submit(_receive, connection)
+
     def submit_later(self, host: str, tasks: int, job: str = "") -> "Future[Answer]":
         """Submit a job from another thread."""
         return self._callers.submit(self.submit, host, tasks, job)
@@ -240,6 +256,13 @@
         yield f"platform.addr={self.find_store(name)}"
 
 
+def _receive(connection: HTTPConnection) -> Answer:
+    response = connection.getresponse()
+    body = response.read()
+    state = json.loads(body)["state"] if response.status == 200 else ""
+    return Answer(response.status, state, response.headers.get("retry-after", ""))
+
+
 def choose_network(pid: int) -> str:
     """Return the first three parts of loopback addresses that no other test process uses.
 
