Take the time of a response before it is sent, as the bound of the next request's age

Found by reading; the new scenario, which resumes the sender after the monitor of pauses, failed 2 of 2 times before. The time from which idle connections are trusted is read before the check too. pauses and http: 69 passed.

--- a/features/pauses.feature
+++ b/features/pauses.feature
@@ -13,6 +13,12 @@
       | over a new connection     | is held back                       |
       | over an idle connection   | is held back                       |
 
+  Scenario: A request that comes during a pause starts nothing although a response is sent until after it
+    # Guards against the end of a response, seen late, as proof that the next request is new.
+    Given a host that leads an idle upstream and serves callers
+    When a caller gets a response and sends the next job while the host is paused in sending the response
+    Then nothing is started, and the answer is that the job has not run
+
   Scenario: A request that is sent after a pause is served
     # Guards against a host that refuses its callers after a pause.
     Given a host that leads an idle upstream and serves callers
--- a/features/steps/old_requests.py
+++ b/features/steps/old_requests.py
@@ -23,6 +23,7 @@
 )
 from fireflybridge_execution import Accepted, Hold, Scheduler, Start
 from fireflybridge_http import ConnectionPool, Request, Response, Server, ServerLimits
+from fireflybridge_http._server_connection import ServerConnection
 from fireflybridge_jobs import (
     Answer,
     EarlierRuns,
@@ -91,7 +92,7 @@
     async def _handle_pause(self, _paused_s: float) -> None:
         await self.server.read_backlog()
         await anyio.sleep(RETRANSMISSION_S)
-        self.server.trust_idle_connections()
+        self.server.trust_idle_connections(time.monotonic())
 
     def connect(self) -> socket.socket:
         """Open a connection as a caller."""
@@ -150,6 +151,43 @@
         caller.close()
 
 
+@when(
+    "a caller gets a response and sends the next job while the host is paused in sending the"
+    " response"
+)
+def send_during_response(context: Context) -> None:
+    anyio.run(request_during_response, context)
+
+
+async def request_during_response(context: Context) -> None:
+    """Pause the event loop once a response is written, and resume its sender after the monitor."""
+    send = ServerConnection._send
+    callers: list[socket.socket] = []
+
+    async def send_and_pause(
+        connection: ServerConnection, response: Response, *, close: bool
+    ) -> None:
+        await send(connection, response, close=close)
+        if callers:
+            callers.pop().sendall(REQUEST)
+            time.sleep(PAUSE_S)
+            await anyio.sleep(END_DELAY_S)
+
+    async with context.host.run() as host:
+        with mock.patch.object(ServerConnection, "_send", send_and_pause):
+            caller = host.connect()
+            callers.append(caller)
+            caller.sendall(REQUEST)
+            upstream = host.connector.upstreams["u0"]
+            await wait_until(lambda: upstream.running)
+            upstream.end_run()
+            await wait_until(lambda: not callers)
+            await anyio.sleep(END_DELAY_S + SETTLED_S)
+        context.starts = host.starts - 1
+        context.answers = host.answers[1:]
+        caller.close()
+
+
 async def use_connection(host: LeadingHost) -> socket.socket:
     """Let a caller's job run, and return its connection, which is idle then."""
     caller = host.connect()
--- a/packages/host/src/fireflybridge_host/_host.py
+++ b/packages/host/src/fireflybridge_host/_host.py
@@ -179,9 +179,10 @@
         for server in servers:
             await server.read_backlog()
         await anyio.sleep(paused_s + RETRANSMISSION_MARGIN_S)
+        now_s = time.monotonic()
         if self._pauses.is_current(resumed_s):
             for server in servers:
-                server.trust_idle_connections()
+                server.trust_idle_connections(now_s)
 
     async def _follow_configuration(self) -> None:
         await self._route_table.follow(
--- a/packages/http/src/fireflybridge_http/_server.py
+++ b/packages/http/src/fireflybridge_http/_server.py
@@ -113,10 +113,10 @@
                 return True
         return False
 
-    def trust_idle_connections(self) -> None:
-        """Note that the clients of idle connections had not sent a request before now."""
+    def trust_idle_connections(self, now_s: float) -> None:
+        """Note that the clients of idle connections had not sent a request by now (monotonic)."""
         for connection in self._connections:
-            connection.trust_if_idle()
+            connection.trust_if_idle(now_s)
 
     def stop_listening(self) -> None:
         """Close the listening socket; open connections stay open."""
--- a/packages/http/src/fireflybridge_http/_server_connection.py
+++ b/packages/http/src/fireflybridge_http/_server_connection.py
@@ -58,10 +58,10 @@
         self._waiting_since_s = time.monotonic()
         self._reading = anyio.CancelScope()
 
-    def trust_if_idle(self) -> None:
-        """Note that the client had not sent the next request before now, unless it has begun."""
+    def trust_if_idle(self, now_s: float) -> None:
+        """Note that the client had not sent the next request by now, unless it has begun."""
         if not self.busy and not self._parser.in_request:
-            self._sent_after_s = time.monotonic()
+            self._sent_after_s = now_s
 
     async def serve(self) -> None:
         """Answer requests until the connection ends."""
@@ -153,12 +153,15 @@
             response = await self._handle(request)
             last = not (self._parser.requests or self._error)
             close = self._is_draining() or (last and not self._parser.keep_alive)
+            answered_s = time.monotonic()
             await self._send(response, close=close)
             if close:
                 return
             self.busy = not last
             if last and not self._parser.in_request:
-                self._waiting_since_s = self._sent_after_s = time.monotonic()
+                # The client may have the response long before this task goes on.
+                self._sent_after_s = answered_s
+                self._waiting_since_s = time.monotonic()
 
     async def _handle(self, request: Request) -> Response:
         try:
