List the runs of a restarted test upstream by one comprehension

Two methods of the upstream listed its running and its ended runs with the same conditions, one by leaving out the other's.

--- a/features/support/restarts.py
+++ b/features/support/restarts.py
@@ -74,21 +74,17 @@
             async with anyio.create_task_group() as connections:
                 await server.serve(connections, task_status=task_status)
 
-    def _list_running(self) -> list[StartedRun]:
+    def _list_runs(self, *, ended: bool) -> list[StartedRun]:
+        """Return the runs of this incarnation that have ended, or those that have not."""
         now_s = time.monotonic()
         return [
             run
             for run in self._starts
             if run.upstream == self.name
             and run.incarnation == self.incarnation
-            and run.end_s > now_s
+            and (run.end_s <= now_s) is ended
         ]
 
-    def _list_ended(self) -> list[StartedRun]:
-        running = self._list_running()
-        own = [run for run in self._starts if run.upstream == self.name]
-        return [r for r in own if r.incarnation == self.incarnation and r not in running]
-
     async def _handle(self, request: Request) -> Response:
         message = json.loads(request.body)
         match request.path:
@@ -120,10 +116,10 @@
             await anyio.sleep(ANSWER_DELAY_S)
 
     def _describe_runs(self) -> dict[str, object]:
-        running = [[run.task, run.number, "", 50] for run in self._list_running()]
+        running = [[run.task, run.number, "", 50] for run in self._list_runs(ended=False)]
         ended = [
             [index + 1, run.task, run.number, "done", ""]
-            for index, run in enumerate(self._list_ended())
+            for index, run in enumerate(self._list_runs(ended=True))
         ]
         return {
             "clock_ms": 1000,
