--- a/packages/execution/src/fireflybridge_execution/__init__.py
+++ b/packages/execution/src/fireflybridge_execution/__init__.py
@@ -13,18 +13,22 @@
 from fireflybridge_execution._directory import DirectorySource, DirectoryView, UpstreamDirectory
 from fireflybridge_execution._events import (
     CrashSign,
+    EarlierRunAdopted,
+    EarlierRunEnded,
     ExecutionEvent,
     JobEnded,
     JobReceived,
     Placement,
     RunMoved,
     RunNotCompleted,
+    StoppedRunEnded,
     TasksPlaced,
     UnexpectedError,
     UpstreamCrashed,
     UpstreamEjected,
     UpstreamSynced,
 )
+from fireflybridge_execution._run_registry import RunKey
 from fireflybridge_execution._scheduler import Scheduler
 
 __all__ = [
@@ -34,6 +38,8 @@
     "CrashSign",
     "DirectorySource",
     "DirectoryView",
+    "EarlierRunAdopted",
+    "EarlierRunEnded",
     "ExecutionEvent",
     "Hold",
     "JobEnded",
@@ -41,11 +47,13 @@
     "Placement",
     "Rejected",
     "RejectionReason",
+    "RunKey",
     "RunMoved",
     "RunNotCompleted",
     "Scheduler",
     "Start",
     "Stop",
+    "StoppedRunEnded",
     "TasksPlaced",
     "UnexpectedError",
     "UpstreamCrashed",
--- a/packages/execution/src/fireflybridge_execution/_command_sender.py
+++ b/packages/execution/src/fireflybridge_execution/_command_sender.py
@@ -51,7 +51,10 @@
             case Run(phase=RunPhase.QUEUED):
                 self._link.runs.remove(run.key)
             case Run():
-                self._link.runs.update(replace(run, phase=RunPhase.STOPPING, confirmed_s=None))
+                stopping = replace(
+                    run, phase=RunPhase.STOPPING, confirmed_s=None, stopped_s=time.monotonic()
+                )
+                self._link.runs.update(stopping)
                 self.queue(run.key)
 
     async def serve(self) -> None:
--- a/packages/execution/src/fireflybridge_execution/_events.py
+++ b/packages/execution/src/fireflybridge_execution/_events.py
@@ -1,16 +1,22 @@
 """Events of the scheduler, for logs and metrics."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import StrEnum
 
 from fireflybridge_execution._run_registry import RunKey
-from fireflybridge_jobs import Answer, EarlierRuns, TaskId
+from fireflybridge_jobs import Answer, EarlierRuns, RunOutcome, TaskId
 from fireflybridge_placement import RunProgress
 
 
 @dataclass(frozen=True, slots=True)
 class JobReceived:
-    """A job was received; ``queued_jobs`` is the number of jobs that were waiting before it."""
+    """A job was received; ``queued_jobs`` is the number of jobs that were waiting before it.
+
+    ``fences`` holds the fencing tokens of this host's terms by failure domain, ``unlisted`` the
+    upstreams that have not listed their runs under them. ``seen_before`` is whether this host has
+    received the job before.
+    """
 
     job: str
     route: str
@@ -18,25 +24,33 @@
     critical_path_ms: float
     queued_jobs: int
     earlier: EarlierRuns | None
+    fences: Mapping[str, int]
+    unlisted: tuple[str, ...]
+    seen_before: bool
 
 
 @dataclass(frozen=True, slots=True)
 class Placement:
-    """The upstream on which a task was placed, and its learned speed."""
+    """The upstream on which a task was placed, its learned speed and the age of its list of runs."""
 
     task: TaskId
     number: int
     upstream: str
     speed: float
+    list_age_ms: float
 
 
 @dataclass(frozen=True, slots=True)
 class TasksPlaced:
-    """Tasks of a job were placed in one pass; ``waiting`` is how many of the job still wait."""
+    """Tasks of a job were placed in one pass; ``waiting`` is how many of the job still wait.
+
+    ``unlisted`` holds the upstreams that have not listed their runs under this host's terms.
+    """
 
     job: str
     placements: tuple[Placement, ...]
     waiting: int
+    unlisted: tuple[str, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,6 +67,39 @@
     elapsed_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class StoppedRunEnded:
+    """A run that this host has stopped is over; ``elapsed_ms`` is the time since it was to be.
+
+    ``outcome`` is the reported ``RunOutcome`` or ``lost``.
+    """
+
+    task: TaskId
+    number: int
+    upstream: str
+    outcome: str
+    elapsed_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class EarlierRunAdopted:
+    """A run that an earlier leader has started goes on for a job of this host."""
+
+    task: TaskId
+    number: int
+    upstream: str
+
+
+@dataclass(frozen=True, slots=True)
+class EarlierRunEnded:
+    """An upstream has reported the end of a run that an earlier leader has started."""
+
+    task: TaskId
+    number: int
+    upstream: str
+    outcome: RunOutcome
+
+
 @dataclass(frozen=True, slots=True)
 class RunMoved:
     """A slow run is stopped because its task can meet a time limit on another upstream."""
@@ -82,7 +129,7 @@
     upstream: str
     fence: int
     incarnation: int
-    running: int
+    running: tuple[RunKey, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,6 +174,9 @@
     JobReceived
     | TasksPlaced
     | RunNotCompleted
+    | StoppedRunEnded
+    | EarlierRunAdopted
+    | EarlierRunEnded
     | RunMoved
     | JobEnded
     | UpstreamSynced
--- a/packages/execution/src/fireflybridge_execution/_placer.py
+++ b/packages/execution/src/fireflybridge_execution/_placer.py
@@ -117,7 +117,8 @@
             active.requested_s,
             exclusive=exclusive,
         )
-        return Placement(task, number, chosen.id, chosen.speed)
+        list_age_ms = (now_s - (session.listed_s or now_s)) * 1000
+        return Placement(task, number, chosen.id, chosen.speed, list_age_ms)
 
     def _build_requirements(
         self, active: ActiveJob, task: TaskId, index: UpstreamIndex, now_s: float
--- a/packages/execution/src/fireflybridge_execution/_run_listener.py
+++ b/packages/execution/src/fireflybridge_execution/_run_listener.py
@@ -4,7 +4,7 @@
 
 from fireflybridge_execution._commands import RejectionReason
 from fireflybridge_execution._events import UpstreamCrashed
-from fireflybridge_execution._run_registry import Run
+from fireflybridge_execution._run_registry import Run, RunKey
 from fireflybridge_jobs import EndedRun, Resources, RunningRun, RunOutcome
 
 
@@ -50,7 +50,7 @@
     def incarnation_reported(self, upstream: str, incarnation: int) -> None:
         """Handle the incarnation of an upstream that may have crashed, or is new to its session."""
 
-    def upstream_synced(self, upstream: str, incarnation: int, running: int) -> None:
+    def upstream_synced(self, upstream: str, incarnation: int, running: tuple[RunKey, ...]) -> None:
         """Handle the first list of all runs of the upstream."""
 
     def upstream_ejected(self, upstream: str, reason: str, failures: int) -> None:
--- a/packages/execution/src/fireflybridge_execution/_run_registry.py
+++ b/packages/execution/src/fireflybridge_execution/_run_registry.py
@@ -27,6 +27,7 @@
 
     ``requested_s`` is when the submission of its job was read, on the monotonic clock.
     ``confirmed_s`` is when the upstream acknowledged the start or stop, None before that.
+    ``stopped_s`` is when this host decided to stop it, None if it hasn't.
     ``started`` is whether the upstream got the start while it was up. Beside an ``exclusive`` run no
     other is started.
     """
@@ -39,6 +40,7 @@
     placed_s: float
     requested_s: float
     confirmed_s: float | None = None
+    stopped_s: float | None = None
     started: bool = False
     exclusive: bool = False
 
--- a/packages/execution/src/fireflybridge_execution/_scheduler.py
+++ b/packages/execution/src/fireflybridge_execution/_scheduler.py
@@ -10,11 +10,14 @@
 from fireflybridge_execution._directory import DirectoryView
 from fireflybridge_execution._events import (
     CrashSign,
+    EarlierRunAdopted,
+    EarlierRunEnded,
     ExecutionEvent,
     JobEnded,
     JobReceived,
     RunMoved,
     RunNotCompleted,
+    StoppedRunEnded,
     TasksPlaced,
     UnexpectedError,
     UpstreamCrashed,
@@ -24,7 +27,8 @@
 from fireflybridge_execution._placer import Placer
 from fireflybridge_execution._queue import JobQueue
 from fireflybridge_execution._recent_ends import RecentEnds
-from fireflybridge_execution._run_registry import Run
+from fireflybridge_execution._recent_jobs import RecentJobs
+from fireflybridge_execution._run_registry import Run, RunKey
 from fireflybridge_execution._session_manager import SessionManager
 from fireflybridge_execution._start_gate import StartGate
 from fireflybridge_jobs import (
@@ -77,6 +81,7 @@
         self._queue = JobQueue()
         self._jobs: dict[str, ActiveJob] = {}
         self._recent_ends = RecentEnds()
+        self._recent_jobs = RecentJobs()
 
     @property
     def job_count(self) -> int:
@@ -161,6 +166,9 @@
                 self._placer.predict_critical_path_ms(active),
                 len(self._queue),
                 earlier,
+                self._sessions.fences,
+                self._sessions.list_unlisted(),
+                self._recent_jobs.note(job.id),
             )
         )
         self._jobs[job.id] = active
@@ -269,7 +277,8 @@
             active.set_answer(TimedOut("its tasks could not be placed"))
             return
         if placements:
-            self._on_event(TasksPlaced(active.job.id, placements, len(active.waiting)))
+            unlisted = self._sessions.list_unlisted()
+            self._on_event(TasksPlaced(active.job.id, placements, len(active.waiting), unlisted))
 
     def _abandon_late_jobs(self) -> None:
         """Answer jobs that can't be done, or whose earlier runs can't be ruled out, in time.
@@ -358,6 +367,7 @@
         """Complete a task, or requeue it for its next attempt."""
         active = self._find_job(upstream, run)
         if active is None:
+            self._report_stopped_run(upstream, run, outcome)
             return
         if outcome is RunOutcome.DONE:
             self._record_run_time(active, run, upstream, elapsed_s)
@@ -403,6 +413,7 @@
         """Requeue a task whose run is gone without a reported end."""
         active = self._find_job(upstream, run)
         if active is None:
+            self._report_stopped_run(upstream, run, "lost")
             return
         self._report_run_not_completed(upstream, run, "lost")
         active.may_have_run = True
@@ -425,6 +436,11 @@
         elapsed_ms = (time.monotonic() - run.placed_s) * 1000
         self._on_event(RunNotCompleted(run.task, run.number, upstream, outcome, elapsed_ms))
 
+    def _report_stopped_run(self, upstream: str, run: Run, outcome: str) -> None:
+        stopped_s = run.stopped_s
+        elapsed_ms = 0.0 if stopped_s is None else (time.monotonic() - stopped_s) * 1000
+        self._on_event(StoppedRunEnded(run.task, run.number, upstream, outcome, elapsed_ms))
+
     def orphan_found(self, upstream: str, run: RunningRun) -> Resources | None:
         """Adopt a run of an earlier leader, or of this host's earlier term, if its job is known."""
         active = self._jobs.get(run.task.job)
@@ -433,10 +449,12 @@
         is_own = active.is_current_run(run.task, upstream, run.number)
         if not is_own and not active.adopt(run.task, upstream, run.number):
             return None
+        self._on_event(EarlierRunAdopted(run.task, run.number, upstream))
         return active.get_step(run.task).needs
 
     def orphan_ended(self, upstream: str, run: EndedRun) -> None:
         """Note the end of a run that an earlier leader started, or this host in an earlier term."""
+        self._on_event(EarlierRunEnded(run.task, run.number, upstream, run.outcome))
         active = self._jobs.get(run.task.job)
         if (
             active is not None
@@ -467,7 +485,7 @@
         """Report an unexpected error that has ended a session."""
         self._on_event(UnexpectedError(f"session with {upstream}", error))
 
-    def upstream_synced(self, upstream: str, incarnation: int, running: int) -> None:
+    def upstream_synced(self, upstream: str, incarnation: int, running: tuple[RunKey, ...]) -> None:
         """Report that an upstream has listed its runs."""
         session = self._sessions.find(upstream)
         fence = 0 if session is None else session.fence
--- a/packages/execution/src/fireflybridge_execution/_session.py
+++ b/packages/execution/src/fireflybridge_execution/_session.py
@@ -164,6 +164,7 @@
         self.crash_reported = False
         self.lost_in_silence = ()
         self.clock = RemoteClock(report.clock_ms, now_s)
+        self.listed_s = now_s
         for ended in report.ended:
             self._handle_ended_run(ended, now_s)
         listed = {(run.task, run.number): run for run in report.running}
@@ -172,7 +173,7 @@
         if not self.synced:
             self.synced = True
             self.report_availability()
-            self.listener.upstream_synced(self.info.id, self.incarnation, len(listed))
+            self.listener.upstream_synced(self.info.id, self.incarnation, tuple(listed))
         self.end_back_off()
         self.listener.capacity_changed()
         self._report_progress(listed)
@@ -238,7 +239,9 @@
         elif now_s >= orphan.stop_after_s:
             # It stays an orphan, so that its lease isn't extended while the stop may be lost.
             stopping = RunPhase.STOPPING
-            self.runs.add(Run(*key, "", Resources(), stopping, now_s, now_s, started=True))
+            self.runs.add(
+                Run(*key, "", Resources(), stopping, now_s, now_s, stopped_s=now_s, started=True)
+            )
             self._sender.queue(key)
 
     def _adopt(self, run: Run) -> None:
--- a/packages/execution/src/fireflybridge_execution/_session_manager.py
+++ b/packages/execution/src/fireflybridge_execution/_session_manager.py
@@ -44,6 +44,7 @@
         self._sessions: dict[str, UpstreamSession] = {}
         self._unasked: set[UpstreamSession] = set()
         """Sessions opened at the start of a term, as far as their upstreams have not replied yet."""
+        self._unlisted: set[UpstreamSession] = set()
         self._created_s = time.monotonic()
         self._led_since_s: dict[str, float] = {}
         self._last_removal_s: dict[str, float] = {}
@@ -134,6 +135,16 @@
         sessions = sorted(chain(self, self._retired), key=lambda session: session.fence)
         return {s.info.id: s.fence for s in sessions if s.runs.has_job(job)}
 
+    @property
+    def fences(self) -> Mapping[str, int]:
+        """Return the led failure domains with their fencing tokens."""
+        return self._fences
+
+    def list_unlisted(self) -> tuple[str, ...]:
+        """Return the upstreams that have not listed their runs under this host's terms."""
+        self._unlisted = {session for session in self._unlisted if session.listed_s is None}
+        return tuple(session.info.id for session in self._unlisted)
+
     def start(self, group: TaskGroup) -> None:
         """Open the sessions and run them in a task group."""
         self._group = group
@@ -193,6 +204,7 @@
             info, fence, self._connector, self._listener, self.live_runs, self._gate
         )
         self._sessions[info.id] = session
+        self._unlisted.add(session)
         if time.monotonic() < self._led_since_s[info.failure_domain] + TERM_START_S:
             self._unasked.add(session)
         self._listener.availability_changed(info.id)
@@ -213,6 +225,7 @@
     def _retire(self, session: UpstreamSession) -> None:
         del self._sessions[session.info.id]
         self._unasked.discard(session)
+        self._unlisted.discard(session)
         self._listener.availability_changed(session.info.id)
         session.close()
         if self._group is not None:
--- a/packages/execution/src/fireflybridge_execution/_upstream_link.py
+++ b/packages/execution/src/fireflybridge_execution/_upstream_link.py
@@ -45,6 +45,8 @@
         """Whether the last call got no reply, so that the lease isn't extended."""
         self.incarnation = 0
         """The incarnation that all commands have reached, 0 before it is known."""
+        self.listed_s: float | None = None
+        """When the upstream last listed its runs under this token, on the monotonic clock."""
         self.clock: RemoteClock | None = None
         self.hold_requested = anyio.Event()
         """Set when the next hold is to be sent, although nothing may run."""
--- a/packages/host/src/fireflybridge_host/_event_logger.py
+++ b/packages/host/src/fireflybridge_host/_event_logger.py
@@ -2,17 +2,22 @@
 
 import traceback
 from collections import Counter
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 import structlog
 
 from fireflybridge_entry import Configuration
 from fireflybridge_execution import (
+    EarlierRunAdopted,
+    EarlierRunEnded,
     ExecutionEvent,
     JobEnded,
     JobReceived,
+    RunKey,
     RunMoved,
     RunNotCompleted,
+    StoppedRunEnded,
     TasksPlaced,
     UnexpectedError,
     UpstreamCrashed,
@@ -78,8 +83,11 @@
                     chain_ms=round(event.critical_path_ms),
                     queued_jobs=event.queued_jobs,
                     resubmitted=event.earlier is not None,
-                    earlier_upstreams=sorted(earlier.upstreams),
-                    earlier_domains=sorted(earlier.domains),
+                    earlier_upstreams=dict(earlier.upstreams),
+                    earlier_domains=dict(earlier.domains),
+                    fences=dict(event.fences),
+                    unlisted=event.unlisted,
+                    seen_before=event.seen_before,
                 )
             case TasksPlaced():
                 self._record_placements(event)
@@ -94,6 +102,36 @@
                     ending=event.outcome,
                     elapsed_ms=round(event.elapsed_ms),
                 )
+            case StoppedRunEnded():
+                self._log.info(
+                    "stopped run ended",
+                    event_id=7107,
+                    job=event.task.job,
+                    task=_format_task(event.task),
+                    run=event.number,
+                    upstream=event.upstream,
+                    ending=event.outcome,
+                    elapsed_ms=round(event.elapsed_ms),
+                )
+            case EarlierRunAdopted():
+                self._log.info(
+                    "earlier run adopted",
+                    event_id=7108,
+                    job=event.task.job,
+                    task=_format_task(event.task),
+                    run=event.number,
+                    upstream=event.upstream,
+                )
+            case EarlierRunEnded():
+                self._log.info(
+                    "earlier run ended",
+                    event_id=7109,
+                    job=event.task.job,
+                    task=_format_task(event.task),
+                    run=event.number,
+                    upstream=event.upstream,
+                    ending=event.outcome,
+                )
             case RunMoved():
                 self._record_move(event)
             case JobEnded():
@@ -105,7 +143,7 @@
                     upstream=event.upstream,
                     fence=event.fence,
                     incarnation=event.incarnation,
-                    running=event.running,
+                    running=_format_runs(event.running),
                 )
             case UpstreamEjected():
                 self.counters.ejections += 1
@@ -122,7 +160,7 @@
                     event_id=7203,
                     upstream=event.upstream,
                     sign=event.sign,
-                    runs=[[f"{task.job}.{_format_task(task)}", run] for task, run in event.runs],
+                    runs=_format_runs(event.runs),
                 )
             case UnexpectedError(action=action, error=error):
                 self.record_unexpected_error(action, error)
@@ -236,9 +274,16 @@
             job=event.job,
             waiting=event.waiting,
             placements=[
-                [_format_task(placed.task), placed.number, placed.upstream, round(placed.speed, 2)]
+                [
+                    _format_task(placed.task),
+                    placed.number,
+                    placed.upstream,
+                    round(placed.speed, 2),
+                    round(placed.list_age_ms),
+                ]
                 for placed in event.placements
             ],
+            unlisted=event.unlisted,
         )
 
     def _record_move(self, event: RunMoved) -> None:
@@ -275,6 +320,10 @@
     return f"{task.occurrence}.{task.step}.{task.index}"
 
 
+def _format_runs(runs: Iterable[RunKey]) -> list[list[str | int]]:
+    return [[f"{task.job}.{_format_task(task)}", number] for task, number in runs]
+
+
 def _label_answer(answer: Answer) -> _AnswerLabels:
     match answer:
         case Succeeded():
