Start nothing before every upstream has listed its runs under the new token

A new leader started a job 11 ms after the first hold to an upstream had failed, beside the run that the earlier leader kept there (order B): what a host didn't know of an upstream was taken for "none". Upstreams that were read later than 1 s after the term's begin, and jobs that a host kept across terms of another leader, went the same way.

UnknownRuns holds one rule: under a new token an upstream may run anything until it has listed its runs. StartGate asks it for each placement and each start, so all paths go through it. An upstream that doesn't reply counts for 2 s after its term's begin and after each sign of life in the directory, so that an entry without an upstream holds nothing up for good. The directory has to be read since the term's begin; a request for a read that comes during a read is no longer lost. A leader that can't start yet isn't ready and refuses with no-upstream. A failed session starts again after 0.1 s, as everybody waits for it.

A scenario of malformed.feature took for granted that a job starts on the other upstream while a session fails. It may start on either now, and a new one checks that the other upstream serves while a session fails for good.

--- a/features/malformed.feature
+++ b/features/malformed.feature
@@ -132,3 +132,9 @@
     When the connection to one of them fails with an unexpected error
     Then the error is reported, and a job is answered as succeeded
     And the session with that upstream starts again
+
+  Scenario: A session that fails again and again holds up the other upstreams no longer than runs last
+    # Guards against a leader that serves nothing because of one upstream.
+    Given a leader of 2 in-memory upstreams with room for two tasks each
+    When every connection to one of them fails with an unexpected error, for longer than runs last
+    Then the errors are reported, and a job is answered as succeeded by the other one
--- a/features/second_leader.feature
+++ b/features/second_leader.feature
@@ -15,7 +15,6 @@
       | names no earlier runs    |
       | names earlier runs on u0 |
 
-  @known_red
   Scenario: A run on an upstream that hasn't replied to the next leader isn't taken for none
     # Guards against a second start beside a run that the earlier leader keeps alive (issue 35, order B).
     Given a job that runs on u0 under the first leader, which learns late that it is replaced
@@ -23,7 +22,6 @@
     Then no two runs of the task were under way at the same time
     And the second leader has a run of the task once u0 replies
 
-  @known_red
   Scenario: A run isn't started again beside a leader that never learns of the next one
     # Guards against a second start while only the next leader is cut off from the upstream.
     Given a job that runs on u0 under the first leader, which never learns that it is replaced
@@ -40,7 +38,6 @@
     Then no two runs of the task were under way at the same time
     And the second leader has a run of the task once u0 replies
 
-  @known_red
   Scenario Outline: An upstream without a reply isn't taken for idle before its lease can have ended
     # Guards against a second start at the beginning of a term, beside a killed leader's run (order B).
     Given a job that runs on u0 under the first leader
--- a/features/second_runs.feature
+++ b/features/second_runs.feature
@@ -13,7 +13,6 @@
       | leaves the directory                        |
       | falls silent as its leader's token is newer |
 
-  @known_red
   Scenario Outline: A job isn't started beside its run on an upstream that the directory lacks at times
     # Guards against a second run while a leader that the store doesn't answer goes on with the first.
     Given two leaders of 2 upstreams that share their runs
@@ -30,7 +29,6 @@
       | whose view                                            |
       | whose directory has just lost the upstream of its run |
 
-  @known_red
   Scenario Outline: Leaders that take turns don't start a task beside a run of the other's term
     # Guards against a job that outlives a term, and of which another leader's runs are taken for ended.
     Given two leaders of 2 upstreams that share their runs
--- a/features/unknown_runs.feature
+++ b/features/unknown_runs.feature
@@ -13,7 +13,6 @@
     When "u0" replies no more, and its job is submitted after a full lease
     Then the task starts on "u1" within 1 s
 
-  @known_red
   Scenario Outline: No task starts before each upstream has listed its runs
     # Guards against a second run of a task that runs on an upstream out of reach (issue 35, order B).
     Given a leader of 2 upstreams, of which "u0" has a run of an earlier leader and is <state>
--- a/packages/execution/src/fireflybridge_execution/_directory.py
+++ b/packages/execution/src/fireflybridge_execution/_directory.py
@@ -82,6 +82,8 @@
     async def follow(self) -> None:
         """Poll until cancelled and report the view after each read."""
         while True:
+            # A request that comes during a read asks for one more.
+            self._refresh_requested = anyio.Event()
             read_s = time.monotonic()
             try:
                 self._update_view(await self._source.refresh(), read_s)
@@ -93,7 +95,6 @@
                 await anyio.sleep(RETRY_S)
 
     async def _wait_for_refresh(self) -> None:
-        self._refresh_requested = anyio.Event()
         with anyio.move_on_after(REFRESH_S if self._leading else STANDBY_REFRESH_S):
             await self._refresh_requested.wait()
 
--- a/packages/execution/src/fireflybridge_execution/_scheduler.py
+++ b/packages/execution/src/fireflybridge_execution/_scheduler.py
@@ -99,9 +99,14 @@
 
     @property
     def has_synced_upstream(self) -> bool:
-        """Return whether any upstream has listed its runs, so that it can take work."""
+        """Return whether any upstream has listed its runs."""
         return self._sessions.has_synced_upstream
 
+    @property
+    def can_start_tasks(self) -> bool:
+        """Return whether an upstream can take work, and this host knows all runs that may be alive."""
+        return self.has_synced_upstream and self._gate.knows_runs(time.monotonic())
+
     async def serve(self) -> None:
         """Run the sessions and retry the placement of waiting jobs until cancelled."""
         async with anyio.create_task_group() as group:
@@ -167,7 +172,7 @@
                 len(self._queue),
                 earlier,
                 self._sessions.fences,
-                self._sessions.list_unlisted(),
+                self._gate.unknown_runs.upstreams,
                 self._recent_jobs.note(job.id),
             )
         )
@@ -207,9 +212,7 @@
         return compute_refusal_time(active.job, active.received_s, critical_path_ms)
 
     def _refuse(self, active: ActiveJob) -> Answer:
-        reason = (
-            RefusalReason.NO_CAPACITY if self.has_synced_upstream else RefusalReason.NO_UPSTREAM
-        )
+        reason = RefusalReason.NO_CAPACITY if self.can_start_tasks else RefusalReason.NO_UPSTREAM
         return active.set_answer(NotRun(reason, RETRY_AFTER_S))
 
     def _end_job(self, active: ActiveJob) -> None:
@@ -251,9 +254,9 @@
 
     def _place(self) -> None:
         """Place waiting tasks on the free capacity; called whenever that may have changed."""
-        if not len(self._queue) or not self._sessions.has_asked_upstreams:
-            return
         now_s = time.monotonic()
+        if not len(self._queue) or not self._gate.knows_runs(now_s):
+            return
         waiting = self._queue.list_first()
         attempts_left = MAX_BACKFILL_ATTEMPTS
         for position, active in enumerate(waiting):
@@ -277,7 +280,7 @@
             active.set_answer(TimedOut("its tasks could not be placed"))
             return
         if placements:
-            unlisted = self._sessions.list_unlisted()
+            unlisted = self._gate.unknown_runs.upstreams
             self._on_event(TasksPlaced(active.job.id, placements, len(active.waiting), unlisted))
 
     def _abandon_late_jobs(self) -> None:
--- a/packages/execution/src/fireflybridge_execution/_session.py
+++ b/packages/execution/src/fireflybridge_execution/_session.py
@@ -54,10 +54,9 @@
         gate: StartGate,
     ) -> None:
         super().__init__(info, fence, listener, live_runs)
-        self.asked = False
-        """Whether the upstream was asked for its runs and has replied, or failed to reply."""
         self._connector = connector
         self._sender = CommandSender(self, connector, gate)
+        self._unknown_runs = gate.unknown_runs
         self._acknowledged = 0
         self._acknowledgement_sent = 0
         self._scope = anyio.CancelScope()
@@ -134,11 +133,9 @@
         try:
             reply = await connection.hold(hold, wait_ms / 1000 + HOLD_TIMEOUT_MARGIN_S)
         except ExchangeError as error:
-            self.asked = True
             self._handle_hold_error(error)
             await anyio.sleep(IDLE_RETRY_S if self.synced and self.runs.is_empty else RETRY_S)
             return
-        self.asked = True
         match reply:
             case RunReport():
                 self._acknowledgement_sent = acknowledged
@@ -172,6 +169,7 @@
         self._update_orphans(listed, now_s)
         if not self.synced:
             self.synced = True
+            self._unknown_runs.forget(self.info.id)
             self.report_availability()
             self.listener.upstream_synced(self.info.id, self.incarnation, tuple(listed))
         self.end_back_off()
--- a/packages/execution/src/fireflybridge_execution/_session_manager.py
+++ b/packages/execution/src/fireflybridge_execution/_session_manager.py
@@ -15,13 +15,14 @@
 from fireflybridge_execution._run_registry import Run
 from fireflybridge_execution._session import UpstreamSession
 from fireflybridge_execution._start_gate import StartGate
+from fireflybridge_execution._unknown_runs import UNKNOWN_RUN_LIFETIME_S
 from fireflybridge_jobs import EarlierRuns, UpstreamInfo
 
-UNKNOWN_RUN_LIFETIME_S = 2.0  # lease of an earlier leader plus adoption wait of another new one
 # A leader that is cut off from the store keeps using upstreams whose entries have expired.
 REMOVED_UPSTREAM_WAIT_S = 15.0
-RESTART_DELAY_S = 0.5
-TERM_START_S = 1.0  # an upstream that registers later has no runs of an earlier leader
+RESTART_DELAY_S = (
+    0.1  # no job starts at the start of a term before every upstream has listed its runs
+)
 
 
 class SessionManager:
@@ -42,9 +43,6 @@
         self._gate = gate
         self._fences: Mapping[str, int] = {}
         self._sessions: dict[str, UpstreamSession] = {}
-        self._unasked: set[UpstreamSession] = set()
-        """Sessions opened at the start of a term, as far as their upstreams have not replied yet."""
-        self._unlisted: set[UpstreamSession] = set()
         self._created_s = time.monotonic()
         self._led_since_s: dict[str, float] = {}
         self._last_removal_s: dict[str, float] = {}
@@ -64,15 +62,6 @@
         """Return whether any upstream has listed its runs."""
         return any(session.synced for session in self)
 
-    @property
-    def has_asked_upstreams(self) -> bool:
-        """Return whether each upstream was asked for its runs since the start of a term.
-
-        Before that, a run of an earlier leader may not be known although its upstream would tell.
-        """
-        self._unasked = {session for session in self._unasked if not session.asked}
-        return not self._unasked
-
     def is_superseded(self, domain: str) -> bool:
         """Return whether an upstream of a led failure domain has refused this host's token."""
         return any(s.superseded and s.info.failure_domain == domain for s in self)
@@ -140,11 +129,6 @@
         """Return the led failure domains with their fencing tokens."""
         return self._fences
 
-    def list_unlisted(self) -> tuple[str, ...]:
-        """Return the upstreams that have not listed their runs under this host's terms."""
-        self._unlisted = {session for session in self._unlisted if session.listed_s is None}
-        return tuple(session.info.id for session in self._unlisted)
-
     def start(self, group: TaskGroup) -> None:
         """Open the sessions and run them in a task group."""
         self._group = group
@@ -159,6 +143,8 @@
             domain for domain in fences if fences[domain] != self._fences.get(domain)
         ]
         self._led_since_s.update(dict.fromkeys(changed_domains, now_s))
+        if changed_domains:
+            self._gate.term_began_s = now_s
         self._fences = dict(fences)
         self._reconcile()
         return True
@@ -167,6 +153,9 @@
         """Apply the newest view of the directory."""
         known = self._gate.view.upstreams
         self._gate.view = view
+        for name in self._gate.unknown_runs.upstreams:
+            if name in view.upstreams:
+                self._gate.unknown_runs.note_entry(view.upstreams[name], time.monotonic())
         if view.upstreams == known:
             return
         domains = {known[name].failure_domain for name in known.keys() - view.upstreams.keys()}
@@ -204,9 +193,7 @@
             info, fence, self._connector, self._listener, self.live_runs, self._gate
         )
         self._sessions[info.id] = session
-        self._unlisted.add(session)
-        if time.monotonic() < self._led_since_s[info.failure_domain] + TERM_START_S:
-            self._unasked.add(session)
+        self._gate.unknown_runs.expect_list(info, self._led_since_s[info.failure_domain])
         self._listener.availability_changed(info.id)
         group.start_soon(self._serve, session)
 
@@ -215,7 +202,6 @@
         try:
             await session.serve()
         except Exception as error:
-            session.asked = True
             self._listener.session_failed(session.info.id, error)
             await anyio.sleep(RESTART_DELAY_S)
             if self.find(session.info.id) is session:
@@ -224,8 +210,10 @@
 
     def _retire(self, session: UpstreamSession) -> None:
         del self._sessions[session.info.id]
-        self._unasked.discard(session)
-        self._unlisted.discard(session)
+        if session.info.failure_domain in self._fences:
+            self._gate.unknown_runs.forget_removed(session.info.id, time.monotonic())
+        else:
+            self._gate.unknown_runs.forget(session.info.id)
         self._listener.availability_changed(session.info.id)
         session.close()
         if self._group is not None:
--- a/packages/execution/src/fireflybridge_execution/_start_gate.py
+++ b/packages/execution/src/fireflybridge_execution/_start_gate.py
@@ -4,15 +4,19 @@
 from math import inf
 
 from fireflybridge_execution._directory import DirectoryView
+from fireflybridge_execution._unknown_runs import UnknownRuns
 from fireflybridge_pauses import PauseMonitor
 
 
 class StartGate:
-    """Decide whether what a start rests on still holds: its request and the upstreams' entries."""
+    """Decide whether what a start rests on holds: its request, the upstreams' entries and runs."""
 
     def __init__(self, pauses: PauseMonitor) -> None:
         self.view = DirectoryView({}, -inf)
         """The newest view of the directory."""
+        self.term_began_s = -inf
+        """When the newest of this host's terms began, on the monotonic clock."""
+        self.unknown_runs = UnknownRuns()
         self._pauses = pauses
 
     def holds_request(self, requested_s: float) -> bool:
@@ -21,4 +25,17 @@
 
     def admits(self, requested_s: float) -> bool:
         """Return whether a run requested at a monotonic time may be started now."""
-        return self.holds_request(requested_s) and self.view.allows_starts(time.monotonic())
+        now_s = time.monotonic()
+        return (
+            self.holds_request(requested_s)
+            and self.view.allows_starts(now_s)
+            and self.knows_runs(now_s)
+        )
+
+    def knows_runs(self, now_s: float) -> bool:
+        """Return whether this host knows the runs of all upstreams, those of earlier leaders too.
+
+        An earlier leader may have used upstreams that only a read since the term began has shown.
+        """
+        knows_upstreams = self.view.read_s >= self.term_began_s or not self.view.store_answers
+        return knows_upstreams and not self.unknown_runs.may_exist(now_s)
--- a/packages/host/src/fireflybridge_host/_host.py
+++ b/packages/host/src/fireflybridge_host/_host.py
@@ -202,7 +202,7 @@
             not self._draining
             and self._route_table.configuration is not None
             and self._submitter.has_leader
-            and (self._scheduler.has_synced_upstream or not self._election.leads)
+            and (self._scheduler.can_start_tasks or not self._election.leads)
         )
         return Response(200 if ready else 503)
 
--- a/packages/jobs/src/fireflybridge_jobs/_upstreams.py
+++ b/packages/jobs/src/fireflybridge_jobs/_upstreams.py
@@ -1,6 +1,6 @@
 """Registration data of upstreams."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 
 
@@ -57,3 +57,5 @@
     labels: tuple[str, ...] = ()
     incarnation: int = 0
     """Unix time of the upstream's start in milliseconds; it differs after a restart under one id."""
+    revision: int = field(default=0, compare=False)
+    """Changes each time the upstream reports itself to the directory."""
