Use no upstream of a failure domain in which the token was refused

A leader that one upstream had refused went on with the others: it extended the leases of its runs and took jobs, while its successor, which didn't reach those upstreams, started the tasks elsewhere 2.2 s after the first run. A refused token means that another host leads the domain, so its sessions are all given up until there is a newer token.

--- a/features/second_runs.feature
+++ b/features/second_runs.feature
@@ -40,7 +40,6 @@
       | adopts a job's run, and the first one leads again without reaching it      |
       | starts a job anew, and the first one leads again without reaching that run |
 
-  @known_red
   Scenario Outline: A leader that an upstream has refused starts and extends no runs on the others
     # Guards against a refused leader that keeps a run alive where its successor gets no reply.
     Given two leaders of 2 upstreams that share their runs
--- a/packages/execution/src/fireflybridge_execution/_scheduler.py
+++ b/packages/execution/src/fireflybridge_execution/_scheduler.py
@@ -481,7 +481,8 @@
         self._place()
 
     def superseded(self, upstream: str) -> None:
-        """Report that another host's term has replaced the one of this host."""
+        """Stop using the upstream's failure domain, of which another host has a newer term."""
+        self._sessions.supersede(upstream)
         self._on_superseded()
 
     def session_failed(self, upstream: str, error: Exception) -> None:
--- a/packages/execution/src/fireflybridge_execution/_session.py
+++ b/packages/execution/src/fireflybridge_execution/_session.py
@@ -137,6 +137,8 @@
             await anyio.sleep(IDLE_RETRY_S if self.synced and self.runs.is_empty else RETRY_S)
             return
         match reply:
+            case _ if self.superseded:
+                pass
             case RunReport():
                 self._acknowledgement_sent = acknowledged
                 self._handle_report(reply, sent_s)
--- a/packages/execution/src/fireflybridge_execution/_session_manager.py
+++ b/packages/execution/src/fireflybridge_execution/_session_manager.py
@@ -66,6 +66,18 @@
         """Return whether an upstream of a led failure domain has refused this host's token."""
         return any(s.superseded and s.info.failure_domain == domain for s in self)
 
+    def supersede(self, upstream: str) -> None:
+        """Stop using the failure domain of an upstream that has refused this host's token there.
+
+        The host that leads it now may not reach the other upstreams, and waits until nothing can run
+        there for this one any more.
+        """
+        session = self.find(upstream)
+        if session is not None:
+            for other in self:
+                if other.info.failure_domain == session.info.failure_domain:
+                    other.supersede()
+
     @property
     def upstream_count(self) -> int:
         """Return how many upstreams the directory lists, whoever leads them."""
--- a/packages/execution/src/fireflybridge_execution/_upstream_link.py
+++ b/packages/execution/src/fireflybridge_execution/_upstream_link.py
@@ -127,6 +127,8 @@
 
     def supersede(self) -> None:
         """Stop using the upstream: its runs and their ends are another leader's now."""
+        if self.superseded:
+            return
         self.superseded = True
         self.synced = False
         self.report_availability()
