Tell a leader that it was replaced

A leader that the store doesn't answer learned nothing of its successor's term, unless an upstream refused it, and kept its runs alive.

Before: the host had no such message (404); the scenario checks that a leader whose log fails gives up its term within 1 s.

--- a/features/malformed.feature
+++ b/features/malformed.feature
@@ -19,6 +19,7 @@
       | records of the store |
       | heartbeat            |
       | heartbeat reply      |
+      | terms of another host |
       | submission           |
       | answer               |
       | settings             |
--- a/features/second_leader.feature
+++ b/features/second_leader.feature
@@ -38,6 +38,12 @@
     Then no two runs of the task were under way at the same time
     And the second leader has a run of the task once u0 replies
 
+  Scenario: A leader that the log doesn't answer learns from the next one that it is replaced
+    # Guards against a replaced leader that keeps runs alive until the log answers it again (issue 35).
+    Given a leader that the log has stopped answering
+    When another host replaces it
+    Then it has given up its term within 1 s
+
   Scenario Outline: An upstream without a reply isn't taken for idle before its lease can have ended
     # Guards against a second start at the beginning of a term, beside a killed leader's run (order B).
     Given a job that runs on u0 under the first leader
--- a/features/steps/malformed.py
+++ b/features/steps/malformed.py
@@ -33,6 +33,7 @@
     decode_heartbeat,
     decode_heartbeat_reply,
     decode_submission,
+    decode_terms,
 )
 from fireflybridge_execution import Hold, Start
 from fireflybridge_http import Connection, ConnectionPool, ExchangeError, Request, Response
@@ -48,7 +49,7 @@
     UpstreamInfo,
     UpstreamState,
 )
-from fireflybridge_leadership import Holder, StoreError
+from fireflybridge_leadership import Holder, StoreError, Term
 
 EXAMPLES = 400
 READ_LIMIT_S = 2.0
@@ -345,6 +346,8 @@
             return [holder]
         case HeartbeatReply(sender=sender, terms=terms, peers=peers):
             return [term.holder for term in terms] + [peer.holder for peer in (sender, *peers)]
+        case (Term(), *_):
+            return [term.holder for term in message]
         case _:
             return []
 
@@ -361,6 +364,7 @@
     await check_response_codec(body, decode_heartbeat_reply)
 
 
+_term = {"domain": "z1", "holder": HOLDER, "fence": 2**30}
 _peer = {"holder": HOLDER, "failure_domain": "z1", "strength": 1.0}
 _settings_text = "\n".join(f"{name}={value}" for name, value in SETTINGS.items()).encode()
 _damaged_settings = strategies.builds(
@@ -407,6 +411,7 @@
     "page of the store": (damaged_json(_page), check_page),
     "records of the store": (strategies.binary(max_size=60), check_records),
     "heartbeat": (damaged_json(_peer), check_codec(decode_heartbeat)),
+    "terms of another host": (damaged_json([_term]), check_codec(decode_terms)),
     "heartbeat reply": (damaged_json(_reply), check_heartbeat_reply),
     "submission": (damaged_json(_submission), check_codec(decode_submission)),
     "answer": (damaged_json({"kind": "not-run", "reason": "no-room"}), check_answer),
--- a/packages/entry/src/fireflybridge_entry/_codec.py
+++ b/packages/entry/src/fireflybridge_entry/_codec.py
@@ -1,4 +1,4 @@
-"""Encoding of the messages between hosts: a submission, its answer and a heartbeat."""
+"""Encoding of the messages between hosts: a submission, its answer, a heartbeat and terms."""
 
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -23,6 +23,7 @@
 
 SUBMIT_PATH = "/peer/jobs"
 HEARTBEAT_PATH = "/peer/heartbeat"
+TERMS_PATH = "/peer/terms"
 
 
 class CodecError(Exception):
@@ -80,6 +81,7 @@
 _heartbeat_decoder = msgspec.json.Decoder(Peer)
 _reply_decoder = msgspec.json.Decoder(HeartbeatReply)
 _answer_decoder = msgspec.json.Decoder(_AnswerMessage)
+_terms_decoder = msgspec.json.Decoder(tuple[Term, ...])
 _encoder = msgspec.json.Encoder()
 
 
@@ -120,6 +122,18 @@
     return reply
 
 
+def encode_terms(terms: Iterable[Term]) -> Request:
+    """Return the request that reports terms to another host."""
+    return Request("POST", TERMS_PATH, body=_encoder.encode(tuple(terms)))
+
+
+def decode_terms(body: bytes) -> tuple[Term, ...]:
+    """Return the terms in a request's body; raise ``CodecError`` if they can't be decoded."""
+    terms = _decode(_terms_decoder, body)
+    _check_addresses(term.holder for term in terms)
+    return terms
+
+
 def encode_answer(answer: Answer) -> Response:
     """Return the response that carries an answer."""
     match answer:
--- a/packages/entry/src/fireflybridge_entry/_leader_monitor.py
+++ b/packages/entry/src/fireflybridge_entry/_leader_monitor.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import time
+from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
 import anyio
@@ -12,6 +13,7 @@
     Peer,
     decode_heartbeat_reply,
     encode_heartbeat,
+    encode_terms,
 )
 from fireflybridge_http import Connection, ExchangeError
 from fireflybridge_leadership import Holder, Leadership, Term
@@ -103,6 +105,17 @@
         finally:
             await connection.close()
 
+    async def announce(self, terms: Iterable[Term], address: str) -> bool:
+        """Report terms to the host at an address, and return whether it has acknowledged them."""
+        connection = Connection(address)
+        try:
+            response = await connection.exchange(encode_terms(terms), HEARTBEAT_TIMEOUT_S)
+            return response.succeeded
+        except ExchangeError:
+            return False
+        finally:
+            await connection.close()
+
     async def _exchange(
         self, connection: Connection, holder: Holder, *, keep_peers: bool = False
     ) -> "HeartbeatReply | _FailedHeartbeat":
--- a/packages/entry/src/fireflybridge_entry/_peer_service.py
+++ b/packages/entry/src/fireflybridge_entry/_peer_service.py
@@ -8,12 +8,14 @@
 from fireflybridge_entry._codec import (
     HEARTBEAT_PATH,
     SUBMIT_PATH,
+    TERMS_PATH,
     CodecError,
     HeartbeatReply,
     Peer,
     Submission,
     decode_heartbeat,
     decode_submission,
+    decode_terms,
     encode_answer,
     encode_heartbeat_reply,
 )
@@ -70,6 +72,8 @@
                 return self._handle_heartbeat(request)
             case ("POST", path) if path == SUBMIT_PATH:
                 return await self._handle_submission(request)
+            case ("POST", path) if path == TERMS_PATH:
+                return self._handle_terms(request)
             case _:
                 return Response(404)
 
@@ -113,6 +117,13 @@
         crashes = self._crashes.list_recent()
         return encode_heartbeat_reply(HeartbeatReply(self._host, terms, peers, crashes))
 
+    def _handle_terms(self, request: Request) -> Response:
+        try:
+            self._leadership.add_terms(decode_terms(request.body))
+        except CodecError:
+            return Response(400)
+        return Response(200)
+
     def _may_take(self, submission: Submission, request: Request) -> bool:
         """Return whether this host leads and the sender still waits for the answer."""
         return (
--- a/packages/host/src/fireflybridge_host/_host.py
+++ b/packages/host/src/fireflybridge_host/_host.py
@@ -23,6 +23,7 @@
 from fireflybridge_execution import CommandConnector, DirectorySource, Scheduler, UpstreamDirectory
 from fireflybridge_host._election import LeaderElection
 from fireflybridge_host._event_logger import EventLogger
+from fireflybridge_host._former_leaders import FormerLeaders
 from fireflybridge_host._logs import configure_logs
 from fireflybridge_host._metrics import MetricsService
 from fireflybridge_host._settings import HostSettings
@@ -99,11 +100,13 @@
         self._peer_service = PeerService(
             peer, self._scheduler, self._leadership, self._pauses, crashes
         )
+        monitor = LeaderMonitor(self._leadership, peer, crashes)
+        former_leaders = FormerLeaders(holder, self._leadership, monitor)
         self._election = LeaderElection(
             settings,
             holder,
             self._leadership,
-            LeaderMonitor(self._leadership, peer, crashes),
+            monitor,
             self._submitter,
             self._scheduler,
             self._directory,
@@ -138,6 +141,7 @@
             "heartbeats of senders": self._peer_service.watch_senders,
             "terms of leadership": self._election.apply_terms,
             "leader election": self._election.run,
+            "former leaders": former_leaders.notify,
         }
         self._draining = False
 
