--- a/features/steps/earlier_runs.py
+++ b/features/steps/earlier_runs.py
@@ -1,18 +1,14 @@
 """Steps on what a new leader learns of the runs that an earlier one started."""
 
-import math
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
-
 import anyio
 from behave import then, when
 from behave.runner import Context
+from support.leading import FENCES, SINGLE_TASK_JOB, run_scheduler, submit
 from support.upstreams import (
     WAIT_LIMIT_S,
     EndlessConnector,
     EndlessUpstream,
     make_job,
-    read_once,
     wait_until,
 )
 
@@ -24,54 +20,23 @@
     RejectionReason,
     Scheduler,
     Stop,
-    UnexpectedError,
     UpstreamEjected,
 )
 from fireflybridge_execution._session import UpstreamSession
 from fireflybridge_http import ExchangeError, ExchangeStep
 from fireflybridge_jobs import (
     EarlierRuns,
-    Job,
     Moved,
     RunningRun,
     RunReport,
     Succeeded,
     TaskId,
-    UpstreamInfo,
 )
-from fireflybridge_pauses import PauseMonitor
 
 JOB = make_job("a", 2)
-SINGLE_TASK_JOB = make_job("b", 1)
-FENCES = (1000, 2000, 3000)
 BEFORE_NEXT_TERM_S = 0.3  # shorter than the time after which unknown runs have ended
 SHORTEST_LIST_DELAY_S = 0.1
 LOST_STOP_WAIT_S = 1.2
-UNKNOWN_RUN_LIFETIME_S = 2.0
-"""How long an upstream that lists no runs may run any task for an earlier leader."""
-
-
-@asynccontextmanager
-async def run_scheduler(
-    context: Context,
-    fence: int,
-    connector: EndlessConnector,
-    on_event: Callable[[ExecutionEvent], None] = lambda _event: None,
-) -> AsyncIterator[Scheduler]:
-    """Run a scheduler that leads the upstreams of the scenario."""
-    scheduler = Scheduler(connector, on_event, lambda: None, PauseMonitor())
-    async with anyio.create_task_group() as group:
-        group.start_soon(scheduler.serve)
-        scheduler.lead({"z1": fence})
-        scheduler.set_upstreams(read_once(context.infos))
-        yield scheduler
-        group.cancel_scope.cancel()
-
-
-async def submit(
-    context: Context, scheduler: Scheduler, job: Job, earlier: EarlierRuns | None
-) -> None:
-    context.answer = await scheduler.submit(job, 0.0, earlier)
 
 
 @when("it stops leading after one of a job's two tasks has ended")
@@ -263,83 +228,6 @@
     assert not context.upstream.running, context.upstream.running
 
 
-class FailingConnector(EndlessConnector):
-    """Connector whose first connections to ``u0`` fail with an error that no caller expects."""
-
-    def __init__(self, failures: float = 1) -> None:
-        super().__init__()
-        self.opened = 0
-        self._failures = failures
-
-    def open(self, upstream: UpstreamInfo) -> EndlessUpstream:
-        """Return the upstream, or raise an error."""
-        if upstream.id == "u0":
-            self.opened += 1
-            if self.opened <= self._failures:
-                raise ZeroDivisionError("a fault of the program")
-        return super().open(upstream)
-
-
-@when("the connection to one of them fails with an unexpected error")
-def fail_session(context: Context) -> None:
-    anyio.run(run_with_failing_session, context)
-
-
-async def run_with_failing_session(context: Context) -> None:
-    """Run a job while the session with one upstream fails and starts again."""
-    connector = FailingConnector()
-    context.events = []
-    async with run_scheduler(context, FENCES[0], connector, context.events.append) as scheduler:
-        async with anyio.create_task_group() as group:
-            group.start_soon(submit, context, scheduler, SINGLE_TASK_JOB, None)
-            # It starts once the upstream has listed its runs, and then on either one.
-            await wait_until(lambda: find_running(connector))
-            find_running(connector)[0].end_run()
-        with anyio.move_on_after(WAIT_LIMIT_S):
-            await wait_until(lambda: scheduler._sessions.find("u0").synced)
-        context.restarted = scheduler._sessions.find("u0").synced
-
-
-def find_running(connector: EndlessConnector) -> list[EndlessUpstream]:
-    return [upstream for upstream in connector.upstreams.values() if upstream.running]
-
-
-@when("every connection to one of them fails with an unexpected error, for longer than runs last")
-def fail_session_for_good(context: Context) -> None:
-    anyio.run(run_beside_failing_session, context)
-
-
-async def run_beside_failing_session(context: Context) -> None:
-    """Run a job while the session with one upstream fails again and again."""
-    connector = FailingConnector(math.inf)
-    context.events = []
-    async with run_scheduler(context, FENCES[0], connector, context.events.append) as scheduler:
-        await anyio.sleep(UNKNOWN_RUN_LIFETIME_S)
-        async with anyio.create_task_group() as group:
-            group.start_soon(submit, context, scheduler, SINGLE_TASK_JOB, None)
-            await wait_until(lambda: connector.upstreams["u1"].running)
-            connector.upstreams["u1"].end_run()
-
-
-@then("the errors are reported, and a job is answered as succeeded by the other one")
-def check_served_beside(context: Context) -> None:
-    errors = {event.action for event in context.events if isinstance(event, UnexpectedError)}
-    assert errors == {"session with u0"}, errors
-    assert context.answer == Succeeded(), context.answer
-
-
-@then("the error is reported, and a job is answered as succeeded")
-def check_contained(context: Context) -> None:
-    errors = [event for event in context.events if isinstance(event, UnexpectedError)]
-    assert [event.action for event in errors] == ["session with u0"], errors
-    assert context.answer == Succeeded(), context.answer
-
-
-@then("the session with that upstream starts again")
-def check_restarted(context: Context) -> None:
-    assert context.restarted
-
-
 class LossyUpstream(EndlessUpstream):
     """An upstream some of whose replies to holds are lost."""
 
--- a/features/steps/second_runs.py
+++ b/features/steps/second_runs.py
@@ -1,24 +1,19 @@
 """Steps on second runs of a task under two leaders that share their upstreams."""
 
 import time
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
 from dataclasses import replace
 
 import anyio
 from anyio.abc import TaskGroup
 from behave import given, then, when
 from behave.runner import Context
-from support.leased_upstreams import LeasedNetwork, LeasedUpstream, find_overlaps, list_spans
-from support.terms import HangingPollLog
-from support.upstreams import describe_upstreams, make_job, read_once, wait_until
+from support.leased_upstreams import LeasedUpstream
+from support.shared_leaders import Leader, has_run, run_steps, start_on
+from support.upstreams import describe_upstreams, make_job, wait_until
 
-from fireflybridge_entry import Peer, PeerService
-from fireflybridge_entry._codec import Submission, encode_heartbeat, encode_submission
-from fireflybridge_execution import Scheduler
-from fireflybridge_jobs import Answer, EarlierRuns, Job, Moved, TaskId, UpstreamInfo
-from fireflybridge_leadership import Holder, Leadership, Term
-from fireflybridge_pauses import PauseMonitor
+from fireflybridge_entry import Peer
+from fireflybridge_jobs import EarlierRuns, Job, Moved, TaskId
+from fireflybridge_leadership import Holder
 
 ESTIMATE_MS = 10000.0  # no run is slow enough to be moved
 
@@ -45,77 +40,6 @@
 ENTRY = Peer(Holder("h2", "1", "127.0.0.1:2"), "z1", 1.0)
 
 
-class Leader:
-    """A scheduler with its own connections to the shared upstreams."""
-
-    def __init__(self, context: Context, name: str) -> None:
-        self.network = LeasedNetwork(name, context.upstreams)
-        self.pauses = PauseMonitor()
-        self.answers: list[Answer] = []
-        self.answered_s: list[float] = []
-        self.scheduler = Scheduler(self.network, lambda _event: None, lambda: None, self.pauses)
-
-    def see(self, infos: dict[str, UpstreamInfo], *names: str) -> None:
-        """Read a directory that holds the named upstreams only."""
-        self.scheduler.set_upstreams(read_once({name: infos[name] for name in names}))
-
-    async def submit(self, job: Job, earlier: EarlierRuns | None = None) -> None:
-        """Submit a job, and keep its answer."""
-        self.answers.append(await self.scheduler.submit(job, 0.0, earlier))
-        self.answered_s.append(time.monotonic())
-
-    @property
-    def has_listed(self) -> set[str]:
-        """Return the upstreams that have listed their runs."""
-        return {session.info.id for session in self.scheduler._sessions if session.synced}
-
-
-@asynccontextmanager
-async def run_leaders(context: Context) -> AsyncIterator[tuple[Leader, Leader, TaskGroup]]:
-    """Run two schedulers that lead nothing yet."""
-    first, second = Leader(context, "first"), Leader(context, "second")
-    async with anyio.create_task_group() as group:
-        group.start_soon(first.scheduler.serve)
-        group.start_soon(second.scheduler.serve)
-        yield first, second, group
-        context.overlaps = find_overlaps(context.upstreams.values())
-        context.spans = list_spans(tuple(context.upstreams.values()))
-        group.cancel_scope.cancel()
-
-
-async def start_on(
-    context: Context, leader: Leader, group: TaskGroup, upstream: str, job: Job
-) -> anyio.CancelScope:
-    """Let a leader that sees one upstream start a job there; return the scope of its caller."""
-    leader.see(context.infos, upstream)
-    scope = anyio.CancelScope()
-
-    async def submit() -> None:
-        with scope:
-            await leader.submit(job)
-
-    group.start_soon(submit)
-    await wait_until(lambda: has_run(context, upstream, job))
-    return scope
-
-
-def has_run(context: Context, upstream: str, job: Job) -> bool:
-    return any(span.task.job == job.id for span in context.upstreams[upstream].alive)
-
-
-def run_steps(
-    context: Context,
-    play: Callable[[Context, Leader, Leader, TaskGroup], Awaitable[None]],
-) -> None:
-    """Run a play of two leaders."""
-
-    async def run() -> None:
-        async with run_leaders(context) as (first, second, group):
-            await play(context, first, second, group)
-
-    anyio.run(run)
-
-
 @given("two leaders of {count:d} upstreams that share their runs")
 def given_leaders(context: Context, count: int) -> None:
     context.infos = describe_upstreams(count)
@@ -368,35 +292,6 @@
     run_steps(context, play)
 
 
-@when("that host starts anew before its silence shows, and the end of its connection gets lost")
-def restart_entry_host(context: Context) -> None:
-    async def run() -> None:
-        leadership = Leadership(HangingPollLog(), lambda _error: None)
-        leader = Peer(Holder("h1", "1", "127.0.0.1:1"), "z1", 1.0)
-        leadership.add_terms((Term("z1", leader.holder, FIRST),))
-        service = PeerService(leader, context.scheduler, leadership, PauseMonitor())
-        submission = Submission(ENTRY.holder.host, JOB, 0, None)
-        async with anyio.create_task_group() as group:
-            group.start_soon(service.watch_senders)
-            await service.handle(encode_heartbeat(ENTRY))
-            group.start_soon(service.handle, encode_submission(submission))
-            await anyio.sleep(2 * HEARTBEAT_S)
-            restarted = replace(ENTRY, holder=replace(ENTRY.holder, incarnation="2"))
-            with anyio.move_on_after(RETRANSMIT_S):
-                while True:
-                    await service.handle(encode_heartbeat(restarted))
-                    await anyio.sleep(HEARTBEAT_S)
-            context.cancelled = context.scheduler.cancelled
-            group.cancel_scope.cancel()
-
-    anyio.run(run)
-
-
-@then("the job of its earlier life is cancelled before callers send it again")
-def check_cancelled(context: Context) -> None:
-    assert context.cancelled
-
-
 @when("a leader is told that a task which it runs is done, and the job's deadline comes")
 def finish_running_task(context: Context) -> None:
     job = replace(make_job("c", 2), wait_ms=SHORT_WAIT_MS)
