--- a/features/steps/unknown_runs.py
+++ b/features/steps/unknown_runs.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import replace
+from itertools import count
 
 import anyio
 from behave import given, then, when
@@ -30,6 +31,8 @@
 UNKNOWN_RUN_LIFETIME_S = 2.0
 OBSERVED_S = 1.0
 STOPPED_S = 0.9
+MAX_LIST_WAIT_S = 5.0
+REPORT_INTERVAL_S = 0.5
 
 
 class RecordingUpstream(CrashingUpstream):
@@ -222,6 +225,38 @@
         await observe_start(context, scheduler)
 
 
+@when('"u0" goes on reporting itself, and a job is submitted after 3 s and after 5 s')
+def submit_beside_reports(context: Context) -> None:
+    anyio.run(submit_beside_reporting_upstream, context)
+
+
+async def submit_beside_reporting_upstream(context: Context) -> None:
+    """Submit a job while the directory shows that the silent upstream is up, and again later."""
+    began_s = time.monotonic()
+    async with run_leader(context, read_once(context.infos)) as scheduler:
+        async with anyio.create_task_group() as group:
+            group.start_soon(renew_entry, context, scheduler)
+            await anyio.sleep(3)
+            await submit(context, scheduler)
+            context.early_starts = context.u1.starts
+            await anyio.sleep(began_s + MAX_LIST_WAIT_S - time.monotonic())
+            await observe_start(context, scheduler)
+            group.cancel_scope.cancel()
+
+
+async def renew_entry(context: Context, scheduler: Scheduler) -> None:
+    for revision in count(1):
+        renewed = {"u0": replace(context.infos["u0"], revision=revision)}
+        scheduler.set_upstreams(read_once({**context.infos, **renewed}))
+        await anyio.sleep(REPORT_INTERVAL_S)
+
+
+@then("only the second submission starts the task")
+def check_second_start(context: Context) -> None:
+    assert context.early_starts == 0, context.early_starts
+    check_starts(context)
+
+
 @given("a leader of an upstream that replies to holds and loses every stop")
 def given_lost_stops(context: Context) -> None:
     make_upstreams(context)
--- a/features/unknown_runs.feature
+++ b/features/unknown_runs.feature
@@ -32,6 +32,12 @@
     When a job is submitted after the lifetime of unknown runs
     Then the task starts on "u1" within 1 s
 
+  Scenario: An upstream that reports itself and never replies holds up the others for 5 s at most
+    # Guards against a leader that serves nothing since one upstream is out of its reach.
+    Given a leader of 2 upstreams, of which "u0" has a run of an earlier leader and is silent
+    When "u0" goes on reporting itself, and a job is submitted after 3 s and after 5 s
+    Then only the second submission starts the task
+
   Scenario: A lease isn't extended while a stop is unconfirmed
     # Guards against holds that keep a run alive whose stops get lost (issue 35).
     Given a leader of an upstream that replies to holds and loses every stop
