--- a/features/malformed.feature
+++ b/features/malformed.feature
@@ -134,8 +134,8 @@
     Then the error is reported, and a job is answered as succeeded
     And the session with that upstream starts again
 
-  Scenario: A session that fails again and again holds up the other upstreams no longer than runs last
+  Scenario: A session that fails again and again holds up the other upstreams for a limited time
     # Guards against a leader that serves nothing because of one upstream.
     Given a leader of 2 in-memory upstreams with room for two tasks each
-    When every connection to one of them fails with an unexpected error, for longer than runs last
+    When every connection to one of them fails with an unexpected error, for longer than lists are awaited
     Then the errors are reported, and a job is answered as succeeded by the other one
--- a/features/steps/failing_sessions.py
+++ b/features/steps/failing_sessions.py
@@ -11,8 +11,8 @@
 from fireflybridge_execution import UnexpectedError
 from fireflybridge_jobs import Succeeded, UpstreamInfo
 
-UNKNOWN_RUN_LIFETIME_S = 2.0
-"""How long an upstream that lists no runs may run any task for an earlier leader."""
+MAX_LIST_WAIT_S = 5.0
+"""How long an upstream that lists no runs may hold up the others."""
 
 
 class FailingConnector(EndlessConnector):
@@ -56,7 +56,9 @@
     return [upstream for upstream in connector.upstreams.values() if upstream.running]
 
 
-@when("every connection to one of them fails with an unexpected error, for longer than runs last")
+@when(
+    "every connection to one of them fails with an unexpected error, for longer than lists are awaited"
+)
 def fail_session_for_good(context: Context) -> None:
     anyio.run(run_beside_failing_session, context)
 
@@ -66,7 +68,7 @@
     connector = FailingConnector(math.inf)
     context.events = []
     async with run_scheduler(context, FENCES[0], connector, context.events.append) as scheduler:
-        await anyio.sleep(UNKNOWN_RUN_LIFETIME_S)
+        await anyio.sleep(MAX_LIST_WAIT_S)
         async with anyio.create_task_group() as group:
             group.start_soon(submit, context, scheduler, SINGLE_TASK_JOB, None)
             await wait_until(lambda: connector.upstreams["u1"].running)
--- a/packages/entry/src/fireflybridge_entry/_codec.py
+++ b/packages/entry/src/fireflybridge_entry/_codec.py
@@ -41,6 +41,8 @@
     job: Job
     age_ms: float
     earlier: EarlierRuns | None
+    incarnation: str = ""
+    """The sender's; hosts of earlier releases don't tell it."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/entry/src/fireflybridge_entry/_peer_service.py
+++ b/packages/entry/src/fireflybridge_entry/_peer_service.py
@@ -38,6 +38,14 @@
     received_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class _Sender:
+    """Identify the process that has submitted a job; hosts of earlier releases name no incarnation."""
+
+    host: str
+    incarnation: str
+
+
 class PeerService:
     """Handle the requests of other hosts.
 
@@ -62,7 +70,7 @@
         self._heartbeats: dict[str, _ReceivedHeartbeat] = {}
         self._silent: set[str] = set()
         """Hosts whose heartbeats have stopped."""
-        self._cancel_scopes: dict[str, set[anyio.CancelScope]] = {}
+        self._cancel_scopes: dict[_Sender, set[anyio.CancelScope]] = {}
         self._clock = WaitingClock()
 
     async def handle(self, request: Request) -> Response:
@@ -92,9 +100,12 @@
                 self._silent.add(host)
                 self._cancel_jobs(host)
 
-    def _cancel_jobs(self, host: str) -> None:
-        for scope in self._cancel_scopes.get(host, ()):
-            scope.cancel()
+    def _cancel_jobs(self, host: str, current: str = "") -> None:
+        """Cancel the jobs of a host's processes, but for those of its current one, if it has one."""
+        for sender, scopes in self._cancel_scopes.items():
+            if sender.host == host and not (current and sender.incarnation == current):
+                for scope in scopes:
+                    scope.cancel()
 
     def find_strongest(self, domains: Collection[str]) -> Peer | None:
         """Return the strongest host of failure domains that sends heartbeats and isn't draining."""
@@ -114,7 +125,7 @@
         last = self._heartbeats.get(host)
         if last is not None and last.sender.holder.incarnation != sender.holder.incarnation:
             # Nobody waits for the jobs of a process that has ended.
-            self._cancel_jobs(host)
+            self._cancel_jobs(host, sender.holder.incarnation)
         self._heartbeats[host] = _ReceivedHeartbeat(sender, self._clock.now_s)
         peers = tuple(
             heartbeat.sender
@@ -148,7 +159,8 @@
         if not self._may_take(submission, request):
             return encode_answer(Moved(submission.earlier))
         answer: Answer = TimedOut("the entry host fell silent")
-        scopes = self._cancel_scopes.setdefault(submission.sender, set())
+        sender = _Sender(submission.sender, submission.incarnation)
+        scopes = self._cancel_scopes.setdefault(sender, set())
         with anyio.CancelScope() as scope:
             scopes.add(scope)
             try:
@@ -158,5 +170,5 @@
             finally:
                 scopes.discard(scope)
                 if not scopes:
-                    self._cancel_scopes.pop(submission.sender, None)
+                    self._cancel_scopes.pop(sender, None)
         return encode_answer(answer)
--- a/packages/entry/src/fireflybridge_entry/_submission.py
+++ b/packages/entry/src/fireflybridge_entry/_submission.py
@@ -57,8 +57,11 @@
     so that the next leader adopts them instead of starting the tasks a second time.
     """
 
-    def __init__(self, host: str, scheduler: JobScheduler, pauses: PauseMonitor) -> None:
+    def __init__(
+        self, host: str, scheduler: JobScheduler, pauses: PauseMonitor, incarnation: str = ""
+    ) -> None:
         self._host = host
+        self._incarnation = incarnation
         self._scheduler = scheduler
         self._pauses = pauses
         self._leader: Leader = None
@@ -133,7 +136,9 @@
                     earlier = answer.earlier
                 case RemoteLeader():
                     age_s = time.monotonic() - received_s
-                    submission = Submission(self._host, job, age_s * 1000, earlier)
+                    submission = Submission(
+                        self._host, job, age_s * 1000, earlier, self._incarnation
+                    )
                     reply = await self._exchange(leader, submission, deadline_s)
                     match reply:
                         case Moved(earlier=earlier):
--- a/packages/execution/src/fireflybridge_execution/_scheduler.py
+++ b/packages/execution/src/fireflybridge_execution/_scheduler.py
@@ -238,6 +238,8 @@
         active.learn_earlier_runs(earlier)
         for task in earlier.done:
             self._finish(active, task)
+        if active.waiting:
+            self._enqueue(active)
 
     def _finish(self, active: ActiveJob, task: TaskId) -> None:
         """Record that a task is done, and stop its run if another one has done it."""
@@ -492,6 +494,8 @@
             self._recent_ends.record(run.task)
         elif active.earlier is not None:
             self._finish(active, run.task)
+            if active.waiting:
+                self._enqueue(active)
 
     def availability_changed(self, upstream: str) -> None:
         """Note a change that may let an upstream take work, or no more of it."""
--- a/packages/execution/src/fireflybridge_execution/_session.py
+++ b/packages/execution/src/fireflybridge_execution/_session.py
@@ -89,6 +89,7 @@
 
     def close(self) -> None:
         """Close the session; its runs end with their lease unless another host extends it."""
+        self.closed = True
         self._scope.cancel()
 
     def adopt_orphans(self, job: str) -> None:
@@ -137,7 +138,7 @@
             await anyio.sleep(IDLE_RETRY_S if self.synced and self.runs.is_empty else RETRY_S)
             return
         match reply:
-            case _ if self.superseded:
+            case _ if self.superseded or self.closed:
                 pass
             case RunReport():
                 self._acknowledgement_sent = acknowledged
--- a/packages/execution/src/fireflybridge_execution/_session_manager.py
+++ b/packages/execution/src/fireflybridge_execution/_session_manager.py
@@ -46,6 +46,8 @@
         self._created_s = time.monotonic()
         self._led_since_s: dict[str, float] = {}
         self._last_removal_s: dict[str, float] = {}
+        self._refusing: dict[str, str] = {}
+        """Upstreams that have refused a token of this host's tenure, with their failure domains."""
         self._retired: set[UpstreamSession] = set()
         self._group: TaskGroup | None = None
 
@@ -70,13 +72,19 @@
         """Stop using the failure domain of an upstream that has refused this host's token there.
 
         The host that leads it now may not reach the other upstreams, and waits until nothing can run
-        there for this one any more.
+        there for this one any more. An upstream that refuses a renewed token as well concerns only
+        itself.
         """
         session = self.find(upstream)
-        if session is not None:
-            for other in self:
-                if other.info.failure_domain == session.info.failure_domain:
-                    other.supersede()
+        if session is None or upstream in self._refusing:
+            return
+        domain = session.info.failure_domain
+        self._refusing[upstream] = domain
+        for other in self:
+            if other.info.failure_domain == domain:
+                other.abandon()
+        led = self._fences.keys() - {domain}
+        self._gate.unknown_runs.retain_domains(led)
 
     @property
     def upstream_count(self) -> int:
@@ -158,6 +166,10 @@
         if changed_domains:
             self._gate.term_began_s = now_s
         self._fences = dict(fences)
+        self._gate.unknown_runs.retain_domains(fences)
+        self._refusing = {
+            name: domain for name, domain in self._refusing.items() if domain in fences
+        }
         self._reconcile()
         return True
 
@@ -167,7 +179,7 @@
         self._gate.view = view
         for name in self._gate.unknown_runs.upstreams:
             if name in view.upstreams:
-                self._gate.unknown_runs.note_entry(view.upstreams[name], time.monotonic())
+                self._gate.unknown_runs.note_entry(view.upstreams[name])
         if view.upstreams == known:
             return
         domains = {known[name].failure_domain for name in known.keys() - view.upstreams.keys()}
@@ -205,7 +217,9 @@
             info, fence, self._connector, self._listener, self.live_runs, self._gate
         )
         self._sessions[info.id] = session
-        self._gate.unknown_runs.expect_list(info, self._led_since_s[info.failure_domain])
+        self._gate.unknown_runs.expect_list(
+            info, self._led_since_s[info.failure_domain], time.monotonic()
+        )
         self._listener.availability_changed(info.id)
         group.start_soon(self._serve, session)
 
@@ -222,10 +236,6 @@
 
     def _retire(self, session: UpstreamSession) -> None:
         del self._sessions[session.info.id]
-        if session.info.failure_domain in self._fences:
-            self._gate.unknown_runs.forget_removed(session.info.id, time.monotonic())
-        else:
-            self._gate.unknown_runs.forget(session.info.id)
         self._listener.availability_changed(session.info.id)
         session.close()
         if self._group is not None:
--- a/packages/execution/src/fireflybridge_execution/_unknown_runs.py
+++ b/packages/execution/src/fireflybridge_execution/_unknown_runs.py
@@ -1,5 +1,6 @@
 """Runs of earlier leaders that this host can't know of yet."""
 
+from collections.abc import Collection
 from dataclasses import dataclass, replace
 
 from fireflybridge_jobs import UpstreamInfo
@@ -13,8 +14,8 @@
 class _UnlistedUpstream:
     """An upstream without a list of its runs; from ``expiry_s`` on it is taken to run nothing."""
 
-    revision: int
-    led_since_s: float
+    info: UpstreamInfo
+    latest_expiry_s: float
     expiry_s: float
 
 
@@ -23,8 +24,8 @@
 
     Under a new fencing token an upstream may run any task until it has listed its runs: the token
     of the list keeps the commands of earlier leaders out. An upstream that doesn't reply is no
-    exception, since an earlier leader may still reach it and extend the leases there. One that has
-    stopped reporting itself to the directory as well is soon taken to run nothing, any other later.
+    exception, since an earlier leader may still reach it and extend the leases there. It counts for
+    a while, and for longer if it reports itself to the directory meanwhile.
     """
 
     def __init__(self) -> None:
@@ -35,28 +36,33 @@
         """Return the upstreams that have not listed their runs yet."""
         return tuple(self._unlisted)
 
-    def expect_list(self, info: UpstreamInfo, led_since_s: float) -> None:
-        """Note that an upstream is used under a new token since a monotonic time."""
-        expiry_s = led_since_s + UNKNOWN_RUN_LIFETIME_S
-        self._unlisted[info.id] = _UnlistedUpstream(info.revision, led_since_s, expiry_s)
-
-    def note_entry(self, info: UpstreamInfo, read_s: float) -> None:
-        """Note an upstream's entry, read at a monotonic time, which may show that it is up."""
+    def expect_list(self, info: UpstreamInfo, led_since_s: float, now_s: float) -> None:
+        """Note that an upstream is used from now on, under a token led since a monotonic time."""
+        latest_s = led_since_s + MAX_LIST_WAIT_S
+        expiry_s = min(now_s + UNKNOWN_RUN_LIFETIME_S, latest_s)
+        known = self._unlisted.get(info.id)
+        if known is not None and known.latest_expiry_s == latest_s:
+            expiry_s = max(expiry_s, known.expiry_s)
+        self._unlisted[info.id] = _UnlistedUpstream(info, latest_s, expiry_s)
+
+    def note_entry(self, info: UpstreamInfo) -> None:
+        """Note an upstream's newest entry, which may show that it is up."""
         unlisted = self._unlisted.get(info.id)
-        if unlisted is not None and info.revision != unlisted.revision:
-            latest_s = unlisted.led_since_s + MAX_LIST_WAIT_S
-            expiry_s = min(read_s + UNKNOWN_RUN_LIFETIME_S, latest_s)
-            self._unlisted[info.id] = replace(unlisted, revision=info.revision, expiry_s=expiry_s)
+        if unlisted is not None and info.revision != unlisted.info.revision:
+            expiry_s = unlisted.latest_expiry_s
+            self._unlisted[info.id] = replace(unlisted, info=info, expiry_s=expiry_s)
 
     def forget(self, upstream: str) -> None:
-        """Note that an upstream has listed its runs, or that its failure domain isn't led any more."""
+        """Note that an upstream has listed its runs."""
         self._unlisted.pop(upstream, None)
 
-    def forget_removed(self, upstream: str, now_s: float) -> None:
-        """Note that an upstream is no longer in use; what it may still run counts on."""
-        unlisted = self._unlisted.get(upstream)
-        if unlisted is not None and unlisted.expiry_s <= now_s:
-            self.forget(upstream)
+    def retain_domains(self, domains: Collection[str]) -> None:
+        """Forget the upstreams of all other failure domains, which this host doesn't use."""
+        self._unlisted = {
+            name: unlisted
+            for name, unlisted in self._unlisted.items()
+            if unlisted.info.failure_domain in domains
+        }
 
     def may_exist(self, now_s: float) -> bool:
         """Return whether a run that this host doesn't know of may be alive at a monotonic time."""
--- a/packages/execution/src/fireflybridge_execution/_upstream_link.py
+++ b/packages/execution/src/fireflybridge_execution/_upstream_link.py
@@ -42,6 +42,8 @@
         """Whether the upstream has listed its runs under this token, and takes work."""
         self.superseded = False
         """Whether the upstream has refused the fencing token, since it has seen a higher one."""
+        self.closed = False
+        """Whether the session is over, so that late replies tell nothing."""
         self.unresponsive = False
         """Whether the last call got no reply, so that the lease isn't extended."""
         self.incarnation = 0
@@ -127,12 +129,15 @@
 
     def supersede(self) -> None:
         """Stop using the upstream: its runs and their ends are another leader's now."""
-        if self.superseded:
-            return
+        if not self.superseded and not self.closed:
+            self.abandon()
+            self.listener.superseded(self.info.id)
+
+    def abandon(self) -> None:
+        """Send no further commands, since another leader's token is higher."""
         self.superseded = True
         self.synced = False
         self.report_availability()
-        self.listener.superseded(self.info.id)
 
     def eject_for(self, reason: str) -> None:
         """Give the upstream no work for a while."""
--- a/packages/host/src/fireflybridge_host/_election.py
+++ b/packages/host/src/fireflybridge_host/_election.py
@@ -344,9 +344,14 @@
 
     async def apply_terms(self) -> None:
         """Make the scheduler lead exactly the failure domains whose terms this host holds."""
+        known: tuple[Term, ...] = ()
         while True:
             led = self._leadership.find_terms_held_by(self._holder)
             self._directory.set_leading(bool(led))
+            if led != known:
+                # Nothing starts before a read since the newest term has begun.
+                self._directory.refresh_soon()
+            known = led
             own_term = self._leadership.terms.get(self._domain)
             if own_term is not None and own_term.holder == self._holder:
                 self._submitter.set_leader(LocalLeader())
--- a/packages/host/src/fireflybridge_host/_event_logger.py
+++ b/packages/host/src/fireflybridge_host/_event_logger.py
@@ -36,6 +36,7 @@
 )
 from fireflybridge_leadership import ClaimResult, StoreError, Term
 
+MAX_LISTED_UPSTREAMS = 8  # keeps lines short at the start of a term
 LATENCY_BOUNDS_MS = (25.0, 50.0, 100.0, 200.0, 400.0, 800.0, 1600.0, 3200.0)
 
 
@@ -86,7 +87,8 @@
                     earlier_upstreams=dict(earlier.upstreams),
                     earlier_domains=dict(earlier.domains),
                     fences=dict(event.fences),
-                    unlisted=event.unlisted,
+                    unlisted=event.unlisted[:MAX_LISTED_UPSTREAMS],
+                    unlisted_count=len(event.unlisted),
                     seen_before=event.seen_before,
                 )
             case TasksPlaced():
@@ -283,7 +285,8 @@
                 ]
                 for placed in event.placements
             ],
-            unlisted=event.unlisted,
+            unlisted=event.unlisted[:MAX_LISTED_UPSTREAMS],
+            unlisted_count=len(event.unlisted),
         )
 
     def _record_move(self, event: RunMoved) -> None:
--- a/packages/host/src/fireflybridge_host/_former_leaders.py
+++ b/packages/host/src/fireflybridge_host/_former_leaders.py
@@ -7,7 +7,7 @@
 from fireflybridge_entry import LeaderMonitor
 from fireflybridge_leadership import Holder, Leadership, Term
 
-ANNOUNCEMENT_S = 2.0  # as long as the new leader takes its runs for alive
+ANNOUNCEMENT_S = 5.0  # as long as the new leader may take its runs for alive
 RETRY_DELAY_S = 0.1
 
 
--- a/packages/host/src/fireflybridge_host/_host.py
+++ b/packages/host/src/fireflybridge_host/_host.py
@@ -96,7 +96,9 @@
         self._directory = UpstreamDirectory(
             ports.directory, self._scheduler.set_upstreams, self._event_logger.record_store_error
         )
-        self._submitter = JobSubmitter(settings.name, self._scheduler, self._pauses)
+        self._submitter = JobSubmitter(
+            settings.name, self._scheduler, self._pauses, holder.incarnation
+        )
         self._peer_service = PeerService(
             peer, self._scheduler, self._leadership, self._pauses, crashes
         )
