--- a/packages/execution/src/fireflybridge_execution/_scheduler.py
+++ b/packages/execution/src/fireflybridge_execution/_scheduler.py
@@ -8,16 +8,13 @@
 from fireflybridge_execution._active_job import ActiveJob, PlacedRun
 from fireflybridge_execution._commands import CommandConnector, RejectionReason
 from fireflybridge_execution._directory import DirectoryView
+from fireflybridge_execution._earlier_runs import EarlierRunsTracker
 from fireflybridge_execution._events import (
     CrashSign,
     EarlierRunAdopted,
     EarlierRunEnded,
     ExecutionEvent,
-    JobEnded,
-    JobReceived,
     RunMoved,
-    RunNotCompleted,
-    StoppedRunEnded,
     TasksPlaced,
     UnexpectedError,
     UpstreamCrashed,
@@ -27,7 +24,7 @@
 from fireflybridge_execution._placer import Placer
 from fireflybridge_execution._queue import JobQueue
 from fireflybridge_execution._recent_ends import RecentEnds
-from fireflybridge_execution._recent_jobs import RecentJobs
+from fireflybridge_execution._reports import Reports
 from fireflybridge_execution._run_registry import Run, RunKey
 from fireflybridge_execution._session_manager import SessionManager
 from fireflybridge_execution._start_gate import StartGate
@@ -57,7 +54,6 @@
 
 PLACEMENT_RETRY_S = 0.02  # notices the end of ejections and back-offs while jobs wait
 SKIPPED_NUMBERS = 8  # skipped after an upstream rejected a run number as old
-TERM_WAIT_S = 0.1  # a job may arrive shortly before the term that lets this host lead all domains
 MAX_BACKFILL_ATTEMPTS = 8  # a placement pass ends after this many jobs that don't fit
 
 
@@ -73,15 +69,16 @@
         crashes: CrashHistory | None = None,
     ) -> None:
         self._on_event = on_event
+        self._reports = Reports(on_event)
         self._on_superseded = on_superseded
         self._gate = StartGate(pauses)
         self._sessions = SessionManager(connector, self, self.run_lost, self._gate)
         self._crashes = CrashHistory() if crashes is None else crashes
+        self._earlier_runs = EarlierRunsTracker(self._sessions)
         self._placer = Placer(self._sessions, self._crashes)
         self._queue = JobQueue()
         self._jobs: dict[str, ActiveJob] = {}
         self._recent_ends = RecentEnds()
-        self._recent_jobs = RecentJobs()
 
     @property
     def job_count(self) -> int:
@@ -126,7 +123,7 @@
         """
         if self._sessions.lead(fences) and not fences:
             for active in list(self._jobs.values()):
-                active.set_answer(Moved(self._find_earlier_runs(active)))
+                active.set_answer(Moved(self._earlier_runs.describe(active)))
 
     def set_upstreams(self, view: DirectoryView) -> None:
         """Apply the newest view of the directory."""
@@ -144,7 +141,7 @@
         """
         now_s = time.monotonic()
         if not self._gate.holds_request(now_s):
-            return Moved(self._add_running(job.id, earlier))
+            return Moved(self._earlier_runs.add_running(job.id, earlier))
         active = self._jobs.get(job.id)
         if active is None:
             active = self._receive(job, age_s, earlier)
@@ -163,18 +160,13 @@
 
     def _receive(self, job: Job, age_s: float, earlier: EarlierRuns | None) -> ActiveJob:
         active = ActiveJob(job, time.monotonic() - age_s, earlier)
-        self._on_event(
-            JobReceived(
-                job.id,
-                job.policy.route,
-                len(active.waiting),
-                self._placer.predict_critical_path_ms(active),
-                len(self._queue),
-                earlier,
-                self._sessions.fences,
-                self._gate.unknown_runs.upstreams,
-                self._recent_jobs.note(job.id),
-            )
+        self._reports.job_received(
+            active,
+            self._placer.predict_critical_path_ms(active),
+            len(self._queue),
+            earlier,
+            self._sessions.fences,
+            self._gate.unknown_runs.upstreams,
         )
         self._jobs[job.id] = active
         if earlier is not None:
@@ -223,7 +215,7 @@
         answer = active.set_answer(TimedOut("caller left"))
         if not isinstance(answer, Moved):
             self._stop_runs(active)
-        self._report_job_end(active, answer)
+        self._reports.job_ended(active, answer)
 
     def _stop_runs(self, active: ActiveJob) -> None:
         for task, placed in active.runs.items():
@@ -248,19 +240,6 @@
         if placed is not None:
             self._stop_run(task, placed)
 
-    def _report_job_end(self, active: ActiveJob, answer: Answer) -> None:
-        first_placed_s = active.first_placed_s
-        self._on_event(
-            JobEnded(
-                active.job.id,
-                active.job.policy.route,
-                answer,
-                (time.monotonic() - active.received_s) * 1000,
-                None if first_placed_s is None else (first_placed_s - active.received_s) * 1000,
-                active.failed_runs,
-            )
-        )
-
     # Placement of waiting jobs
 
     def _enqueue(self, active: ActiveJob) -> None:
@@ -311,7 +290,7 @@
                 self._give_back(active)
             elif self._placer.will_miss_deadline(active, now_s):
                 self._abandon(active, "can't be finished before its deadline")
-            elif self._cannot_resolve_earlier_runs(active, now_s):
+            elif self._earlier_runs.stay_unknown(active, now_s):
                 self._abandon(active, "its earlier runs can't be ruled out in time")
 
     def _refuse_unstarted_jobs(self) -> None:
@@ -323,48 +302,14 @@
                 self._queue.remove(active)
 
     def _may_start(self, active: ActiveJob, now_s: float) -> bool:
-        return self._gate.admits(active.requested_s) and self._has_resolved_earlier_runs(
-            active, now_s
-        )
-
-    def _has_resolved_earlier_runs(self, active: ActiveJob, now_s: float) -> bool:
-        """Return whether this host knows every run of the job that can still be alive."""
-        if active.earlier is None or self._sessions.knows_earlier_runs(active.earlier):
-            return True
-        return now_s >= self._sessions.compute_unknown_runs_expiry(active.submitted_s)
-
-    def _cannot_resolve_earlier_runs(self, active: ActiveJob, now_s: float) -> bool:
-        return (
-            active.earlier is not None
-            and not self._has_resolved_earlier_runs(active, now_s)
-            and not self._sessions.can_learn_earlier_runs(active.earlier)
-            and self._sessions.compute_unknown_runs_expiry(active.submitted_s) > active.deadline_s
-            and now_s > active.submitted_s + TERM_WAIT_S
-        )
-
-    def _find_earlier_runs(self, active: ActiveJob) -> EarlierRuns | None:
-        """Return where the next leader must look for a job's runs, or None if none was started."""
-        now_s = time.monotonic()
-        resolved = active.earlier is None or self._has_resolved_earlier_runs(active, now_s)
-        known = EarlierRuns(done=active.list_done()) if active.may_have_run else None
-        if known is not None and not resolved:
-            known = known.merge(active.earlier)
-        return self._add_running(active.job.id, known)
-
-    def _add_running(self, job: str, earlier: EarlierRuns | None) -> EarlierRuns | None:
-        """Return what is known of a job's runs, with those that may be alive on upstreams of this host.
-
-        They may be those of a submission that has ended, and are being stopped.
-        """
-        fences = self._sessions.find_running_fences(job)
-        return EarlierRuns(fences).merge(earlier) if fences else earlier
+        return self._gate.admits(active.requested_s) and self._earlier_runs.are_known(active, now_s)
 
     def _give_back(self, active: ActiveJob) -> None:
         """Answer a job so that only an entry host whose caller still waits submits it again."""
         if active.may_have_run or active.runs:
             active.set_answer(TimedOut("the leader was paused"))
         else:
-            active.set_answer(Moved(self._add_running(active.job.id, None)))
+            active.set_answer(Moved(self._earlier_runs.add_running(active.job.id, None)))
         self._queue.remove(active)
 
     def _abandon(self, active: ActiveJob, reason: str) -> None:
@@ -393,12 +338,12 @@
         """Complete a task, or requeue it for its next attempt."""
         active = self._find_job(upstream, run)
         if active is None:
-            self._report_stopped_run(upstream, run, outcome)
+            self._reports.stopped_run_ended(upstream, run, outcome)
             return
         if outcome is RunOutcome.DONE:
             self._record_run_time(active, run, upstream, elapsed_s)
         else:
-            self._report_run_not_completed(upstream, run, outcome)
+            self._reports.run_not_completed(upstream, run, outcome)
         self._handle_outcome(active, run.task, upstream, outcome)
 
     def _handle_outcome(
@@ -430,7 +375,7 @@
         active = self._find_job(upstream, run)
         if active is None:
             return
-        self._report_run_not_completed(upstream, run, f"not-started: {reason or 'unreachable'}")
+        self._reports.run_not_completed(upstream, run, f"not-started: {reason or 'unreachable'}")
         skipped = SKIPPED_NUMBERS if reason is RejectionReason.OLD_RUN else 0
         active.requeue(run.task, skip_numbers=skipped)
         self._enqueue(active)
@@ -439,9 +384,9 @@
         """Requeue a task whose run is gone without a reported end."""
         active = self._find_job(upstream, run)
         if active is None:
-            self._report_stopped_run(upstream, run, "lost")
+            self._reports.stopped_run_ended(upstream, run, "lost")
             return
-        self._report_run_not_completed(upstream, run, "lost")
+        self._reports.run_not_completed(upstream, run, "lost")
         active.may_have_run = True
         active.requeue(run.task)
         self._enqueue(active)
@@ -458,15 +403,6 @@
             active.record_move(run.task, upstream)
             session.stop(run.task, run.number)
 
-    def _report_run_not_completed(self, upstream: str, run: Run, outcome: str) -> None:
-        elapsed_ms = (time.monotonic() - run.placed_s) * 1000
-        self._on_event(RunNotCompleted(run.task, run.number, upstream, outcome, elapsed_ms))
-
-    def _report_stopped_run(self, upstream: str, run: Run, outcome: str) -> None:
-        stopped_s = run.stopped_s
-        elapsed_ms = 0.0 if stopped_s is None else (time.monotonic() - stopped_s) * 1000
-        self._on_event(StoppedRunEnded(run.task, run.number, upstream, outcome, elapsed_ms))
-
     def orphan_found(self, upstream: str, run: RunningRun) -> Resources | None:
         """Adopt a run of an earlier leader, or of this host's earlier term, if its job is known."""
         active = self._jobs.get(run.task.job)
