Use no upstream that registers in a failure domain whose token was refused

Found when the change was read again: a session opened after the refusal was used under the refused token. The new scenario lists the upstream's runs without this commit, and sends nothing with it.

--- a/features/new_terms.feature
+++ b/features/new_terms.feature
@@ -124,3 +124,8 @@
       | how     |
       | in turn |
       | at once |
+
+  Scenario: An upstream that registers in a domain whose token was refused isn't used
+    # Guards against a replaced leader that starts tasks where its successor hasn't been heard yet.
+    When one upstream of a domain refuses the token, and another one registers then
+    Then the new upstream gets no command
--- a/features/steps/term_waits.py
+++ b/features/steps/term_waits.py
@@ -291,3 +291,26 @@
         context.starts, context.answers = ups["u0"].starts, side.answers
 
     play_one(context, 2, play)
+
+
+@when("one upstream of a domain refuses the token, and another one registers then")
+def register_after_refusal(context: Context) -> None:
+    async def play(context, side, ups, group) -> None:  # type: ignore[no-untyped-def]
+        ups["u0"] = RefusingUpstream()
+        infos = dict(side.infos)
+        side.infos = {"u0": infos["u0"]}
+        side.scheduler.lead({"z1": 1000})
+        side.read()
+        await anyio.sleep(0.3)
+        assert side.scheduler.is_superseded("z1")
+        side.infos = infos
+        side.read()
+        await anyio.sleep(0.3)
+        context.listed_s = side.scheduler._sessions.find("u1").listed_s
+
+    play_one(context, 2, play)
+
+
+@then("the new upstream gets no command")
+def check_no_command(context: Context) -> None:
+    assert context.listed_s is None
--- a/packages/execution/src/fireflybridge_execution/_session_manager.py
+++ b/packages/execution/src/fireflybridge_execution/_session_manager.py
@@ -20,9 +20,7 @@
 
 # A leader that is cut off from the store keeps using upstreams whose entries have expired.
 REMOVED_UPSTREAM_WAIT_S = 15.0
-RESTART_DELAY_S = (
-    0.1  # no job starts at the start of a term before every upstream has listed its runs
-)
+RESTART_DELAY_S = 0.1  # a new leader waits for the list of every upstream
 
 
 class SessionManager:
@@ -48,6 +46,7 @@
         self._last_removal_s: dict[str, float] = {}
         self._refusing: dict[str, str] = {}
         """Upstreams that have refused a token of this host's tenure, with their failure domains."""
+        self._superseded_domains: set[str] = set()
         self._retired: set[UpstreamSession] = set()
         self._group: TaskGroup | None = None
 
@@ -83,8 +82,8 @@
         for other in self:
             if other.info.failure_domain == domain:
                 other.abandon()
-        led = self._fences.keys() - {domain}
-        self._gate.unknown_runs.retain_domains(led)
+        self._superseded_domains.add(domain)
+        self._gate.unknown_runs.retain_domains(self._fences.keys() - self._superseded_domains)
 
     @property
     def upstream_count(self) -> int:
@@ -163,6 +162,7 @@
             domain for domain in fences if fences[domain] != self._fences.get(domain)
         ]
         self._led_since_s.update(dict.fromkeys(changed_domains, now_s))
+        self._superseded_domains.difference_update(changed_domains)
         if changed_domains:
             self._gate.term_began_s = now_s
         self._fences = dict(fences)
@@ -217,9 +217,11 @@
             info, fence, self._connector, self._listener, self.live_runs, self._gate
         )
         self._sessions[info.id] = session
-        self._gate.unknown_runs.expect_list(
-            info, self._led_since_s[info.failure_domain], time.monotonic()
-        )
+        if info.failure_domain in self._superseded_domains:
+            session.abandon()
+        else:
+            led_since_s = self._led_since_s[info.failure_domain]
+            self._gate.unknown_runs.expect_list(info, led_since_s, time.monotonic())
         self._listener.availability_changed(info.id)
         group.start_soon(self._serve, session)
 
