--- a/packages/host/src/fireflybridge_host/_event_logger.py
+++ b/packages/host/src/fireflybridge_host/_event_logger.py
@@ -97,10 +97,7 @@
                 self._log.warning(
                     "run ended badly",
                     event_id=7105,
-                    job=event.task.job,
-                    task=_format_task(event.task),
-                    run=event.number,
-                    upstream=event.upstream,
+                    **_describe_run(event),
                     ending=event.outcome,
                     elapsed_ms=round(event.elapsed_ms),
                 )
@@ -108,30 +105,17 @@
                 self._log.info(
                     "stopped run ended",
                     event_id=7107,
-                    job=event.task.job,
-                    task=_format_task(event.task),
-                    run=event.number,
-                    upstream=event.upstream,
+                    **_describe_run(event),
                     ending=event.outcome,
                     elapsed_ms=round(event.elapsed_ms),
                 )
             case EarlierRunAdopted():
-                self._log.info(
-                    "earlier run adopted",
-                    event_id=7108,
-                    job=event.task.job,
-                    task=_format_task(event.task),
-                    run=event.number,
-                    upstream=event.upstream,
-                )
+                self._log.info("earlier run adopted", event_id=7108, **_describe_run(event))
             case EarlierRunEnded():
                 self._log.info(
                     "earlier run ended",
                     event_id=7109,
-                    job=event.task.job,
-                    task=_format_task(event.task),
-                    run=event.number,
-                    upstream=event.upstream,
+                    **_describe_run(event),
                     ending=event.outcome,
                 )
             case RunMoved():
@@ -293,10 +277,7 @@
         self._log.info(
             "run moved",
             event_id=7106,
-            job=event.task.job,
-            task=_format_task(event.task),
-            run=event.number,
-            upstream=event.upstream,
+            **_describe_run(event),
             elapsed_ms=round(event.progress.elapsed_ms),
             percent=event.progress.percent,
             expected_work_ms=round(event.progress.expected_work_ms),
@@ -323,6 +304,18 @@
     return f"{task.occurrence}.{task.step}.{task.index}"
 
 
+def _describe_run(
+    event: RunNotCompleted | StoppedRunEnded | EarlierRunAdopted | EarlierRunEnded | RunMoved,
+) -> dict[str, str | int]:
+    """Return the fields that name a run."""
+    return {
+        "job": event.task.job,
+        "task": _format_task(event.task),
+        "run": event.number,
+        "upstream": event.upstream,
+    }
+
+
 def _format_runs(runs: Iterable[RunKey]) -> list[list[str | int]]:
     return [[f"{task.job}.{_format_task(task)}", number] for task, number in runs]
 
