Let one leader decide on a job that reaches the leaders of several failure domains

A caller whose connection broke sends its job again to another host, and that host may have another leader.

Cause: a start rested on what its own leader knew of the job. Now StartGate, which every placement and every start asks, also wants the job cleared by each other leader under its newest term. Leaders ask each other over one connection each, with all new jobs in one message; of two that have received a job, the one that has begun it keeps it, else the first by name. The other waits and gives the same answer. A question names the asking leader's terms, so a term that only its holder knows of becomes known before anything starts under it. A leader that keeps other failure domains asks again once a domain has a new leader, so it starts nothing beside a run that this one has found. With a single leader nothing is asked.

--- a/features/second_runs.feature
+++ b/features/second_runs.feature
@@ -51,7 +51,6 @@
       | while a job runs there |
       | and then gets a job    |
 
-  @known_red
   Scenario: A leader that loses a failure domain doesn't start its tasks elsewhere
     # Guards against a second run in another failure domain, while the new leader adopts the first.
     Given two leaders of 2 upstreams in separate failure domains that share their runs
@@ -71,7 +70,6 @@
     When a job is sent again to the leader that runs it, just after its process was paused
     Then the job is given back with the upstream of that run
 
-  @known_red
   Scenario: A job that is sent to the leaders of two failure domains is one job
     # Guards against two full runs of a job whose caller has sent it again (review/1).
     Given two leaders of 2 upstreams in separate failure domains that share their runs
--- a/features/steps/second_runs.py
+++ b/features/steps/second_runs.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 from behave.runner import Context
 from support.leased_upstreams import LeasedUpstream
+from support.linked_leaders import LinkedLeader, run_linked
 from support.shared_leaders import Leader, has_run, run_steps, start_on
 from support.upstreams import describe_upstreams, make_job, wait_until
 
@@ -217,19 +218,19 @@
 
 @when("a job's failure domain gets another leader, to which its caller sends the job again")
 def lose_domain(context: Context) -> None:
-    async def play(context: Context, first: Leader, second: Leader, group: TaskGroup) -> None:
-        first.scheduler.lead({"z1": FIRST, "z2": FIRST})
+    async def play(first: LinkedLeader, second: LinkedLeader, group: TaskGroup) -> None:
+        first.begin_terms(FIRST, "z1", "z2")
         await start_on(context, first, group, "u0", JOB)
         first.see(context.infos, *context.infos)
         await wait_until(lambda: first.has_listed == set(context.infos))
-        first.scheduler.lead({"z2": FIRST})
-        second.scheduler.lead({"z1": SECOND})
+        second.learn(*first.leadership.terms.values())
+        first.learn(*second.begin_terms(SECOND, "z1"))
         second.see(context.infos, *context.infos)
         await wait_until(lambda: second.has_listed == {"u0"})
         group.start_soon(second.submit, JOB)
         await anyio.sleep(LEASE_S + OBSERVED_S)
 
-    run_steps(context, play)
+    run_linked(context, play)
 
 
 @when("a job is sent again while its first run can't be stopped, and the leader is replaced")
@@ -280,16 +281,16 @@
 
 @when("a job is sent to the leaders of both failure domains")
 def submit_to_both(context: Context) -> None:
-    async def play(context: Context, first: Leader, second: Leader, group: TaskGroup) -> None:
-        first.scheduler.lead({"z1": FIRST})
-        second.scheduler.lead({"z2": FIRST})
+    async def play(first: LinkedLeader, second: LinkedLeader, group: TaskGroup) -> None:
+        terms = (*first.begin_terms(FIRST, "z1"), *second.begin_terms(FIRST, "z2"))
         for leader in (first, second):
+            leader.learn(*terms)
             leader.see(context.infos, *context.infos)
         await start_on(context, first, group, "u0", JOB)
         group.start_soon(second.submit, JOB)
         await anyio.sleep(OBSERVED_S)
 
-    run_steps(context, play)
+    run_linked(context, play)
 
 
 @when("a leader is told that a task which it runs is done, and the job's deadline comes")
--- /dev/null
+++ b/packages/clearances/src/fireflybridge_clearances/__init__.py
@@ -0,0 +1,24 @@
+"""Agreement of leaders on which of them decides on a job that several have received."""
+
+from fireflybridge_clearances._holdings import (
+    Answered,
+    Held,
+    Holding,
+    JobQuestion,
+    LeaderReport,
+    MayRun,
+    NotHeld,
+)
+from fireflybridge_clearances._job_clearances import UNREACHABLE_S, JobClearances
+
+__all__ = [
+    "UNREACHABLE_S",
+    "Answered",
+    "Held",
+    "Holding",
+    "JobClearances",
+    "JobQuestion",
+    "LeaderReport",
+    "MayRun",
+    "NotHeld",
+]
--- /dev/null
+++ b/packages/clearances/src/fireflybridge_clearances/_holdings.py
@@ -0,0 +1,52 @@
+"""What a leader knows of a job, as another leader that has received the job asks it."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from fireflybridge_jobs import Failed, Succeeded
+from fireflybridge_leadership import Holder
+
+
+@dataclass(frozen=True, slots=True)
+class NotHeld:
+    """The leader doesn't hold the job, and no run of it is alive in its failure domains."""
+
+
+@dataclass(frozen=True, slots=True)
+class MayRun:
+    """The leader doesn't hold the job, but a run of it may be alive in its failure domains."""
+
+
+@dataclass(frozen=True, slots=True)
+class Held:
+    """The leader decides on the job."""
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """The leader has answered the job lately."""
+
+    answer: Succeeded | Failed
+
+
+Holding = NotHeld | MayRun | Held | Answered
+
+
+@dataclass(frozen=True, slots=True)
+class JobQuestion:
+    """Ask another leader about a job; ``begun`` is whether the asking one has started its tasks."""
+
+    job: str
+    begun: bool
+
+
+@dataclass(frozen=True, slots=True)
+class LeaderReport:
+    """What a leader says of jobs, under the terms that it serves.
+
+    ``fences`` holds the fencing tokens of its terms by failure domain.
+    """
+
+    leader: Holder
+    fences: Mapping[str, int]
+    holdings: Mapping[str, Holding]
--- a/packages/entry/src/fireflybridge_entry/_codec.py
+++ b/packages/entry/src/fireflybridge_entry/_codec.py
@@ -94,7 +94,7 @@
 
 def decode_submission(body: bytes) -> Submission:
     """Return the submission in a request's body; raise ``CodecError`` if it can't be decoded."""
-    return _decode(_submission_decoder, body)
+    return decode(_submission_decoder, body)
 
 
 def encode_heartbeat(sender: Peer) -> Request:
@@ -104,8 +104,8 @@
 
 def decode_heartbeat(body: bytes) -> Peer:
     """Return the sender of a heartbeat; raise ``CodecError`` if it can't be decoded."""
-    sender = _decode(_heartbeat_decoder, body)
-    _check_addresses((sender.holder,))
+    sender = decode(_heartbeat_decoder, body)
+    check_holders((sender.holder,))
     return sender
 
 
@@ -118,9 +118,9 @@
     """Return the reply in a response; raise ``CodecError`` if it can't be decoded."""
     if not response.succeeded:
         raise CodecError(f"status {response.status}")
-    reply = _decode(_reply_decoder, response.body)
-    _check_addresses(peer.holder for peer in (reply.sender, *reply.peers))
-    _check_addresses(term.holder for term in reply.terms)
+    reply = decode(_reply_decoder, response.body)
+    check_holders(peer.holder for peer in (reply.sender, *reply.peers))
+    check_holders(term.holder for term in reply.terms)
     return reply
 
 
@@ -131,8 +131,8 @@
 
 def decode_terms(body: bytes) -> tuple[Term, ...]:
     """Return the terms in a request's body; raise ``CodecError`` if they can't be decoded."""
-    terms = _decode(_terms_decoder, body)
-    _check_addresses(term.holder for term in terms)
+    terms = decode(_terms_decoder, body)
+    check_holders(term.holder for term in terms)
     return terms
 
 
@@ -156,7 +156,7 @@
     """Return the answer in a response; raise ``CodecError`` if it can't be decoded."""
     if not response.succeeded:
         raise CodecError(f"status {response.status}")
-    message = _decode(_answer_decoder, response.body)
+    message = decode(_answer_decoder, response.body)
     match message:
         case _AnswerMessage(kind="succeeded"):
             return Succeeded()
@@ -179,14 +179,16 @@
         raise CodecError(f"unknown reason of a refusal {reason!r}") from error
 
 
-def _decode(decoder: "msgspec.json.Decoder[T]", body: bytes) -> T:
+def decode(decoder: "msgspec.json.Decoder[T]", body: bytes) -> T:
+    """Return a decoded message; raise ``CodecError`` if it can't be decoded."""
     try:
         return decoder.decode(body)
     except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise CodecError(str(error)) from error
 
 
-def _check_addresses(holders: Iterable[Holder]) -> None:
+def check_holders(holders: Iterable[Holder]) -> None:
+    """Raise ``CodecError`` if the address of a holder isn't one."""
     try:
         for holder in holders:
             check_address(holder.address)
--- a/packages/entry/src/fireflybridge_entry/_job_scheduler.py
+++ b/packages/entry/src/fireflybridge_entry/_job_scheduler.py
@@ -1,8 +1,11 @@
 """Interface to the scheduler of the leader, which the execution package implements."""
 
+from collections.abc import Iterable
 from typing import Protocol
 
+from fireflybridge_clearances import JobQuestion, LeaderReport
 from fireflybridge_jobs import Answer, EarlierRuns, Job
+from fireflybridge_leadership import Holder
 
 
 class JobScheduler(Protocol):
@@ -15,3 +18,17 @@
         may still be running.
         """
         ...
+
+    def list_questions(self, leader: Holder) -> tuple[JobQuestion, ...]:
+        """Return the jobs that another leader is to be asked for now."""
+        ...
+
+    def describe_jobs(
+        self, own: Holder, asker: Holder, questions: Iterable[JobQuestion]
+    ) -> LeaderReport:
+        """Return what this leader knows of jobs that another one has received as well."""
+        ...
+
+    def apply_report(self, report: LeaderReport, asked_s: float) -> None:
+        """Apply what another leader says in reply to a question sent at a monotonic time."""
+        ...
--- /dev/null
+++ b/packages/entry/src/fireflybridge_entry/_leader_links.py
@@ -0,0 +1,100 @@
+"""Questions of this leader to the other leaders about the jobs that it has received."""
+
+import time
+from contextlib import suppress
+
+import anyio
+from anyio.abc import TaskGroup
+
+from fireflybridge_clearances import JobClearances, JobQuestion
+from fireflybridge_entry._codec import CodecError
+from fireflybridge_entry._job_scheduler import JobScheduler
+from fireflybridge_entry._question_codec import (
+    Question,
+    QuestionReply,
+    decode_question_reply,
+    encode_question,
+)
+from fireflybridge_http import Connection, ExchangeError
+from fireflybridge_leadership import Holder, Leadership
+
+QUESTION_TIMEOUT_S = 0.25
+RETRY_S = 0.05  # asks again for a job that another leader holds, or after no reply
+MAX_QUESTIONS = 1000  # of one message
+
+
+class LeaderLinks:
+    """Keep one connection to each other leader while this host leads.
+
+    Questions that come up while one message is under way go into the next one.
+    """
+
+    def __init__(
+        self,
+        holder: Holder,
+        leadership: Leadership,
+        scheduler: JobScheduler,
+        clearances: JobClearances,
+    ) -> None:
+        self._holder = holder
+        self._leadership = leadership
+        self._scheduler = scheduler
+        self._clearances = clearances
+        self._scopes: dict[Holder, anyio.CancelScope] = {}
+
+    async def run(self) -> None:
+        """Follow the terms of all leaders until cancelled."""
+        try:
+            async with anyio.create_task_group() as group:
+                while True:
+                    self._update(group)
+                    await self._leadership.changed.wait()
+        finally:
+            self._scopes.clear()
+
+    def _update(self, group: TaskGroup) -> None:
+        leads = bool(self._leadership.find_terms_held_by(self._holder))
+        leaders = self._clearances.list_leaders() if leads else frozenset()
+        for leader in self._scopes.keys() - leaders:
+            self._scopes.pop(leader).cancel()
+        for leader in leaders - self._scopes.keys():
+            scope = self._scopes[leader] = anyio.CancelScope()
+            group.start_soon(self._ask_until_cancelled, leader, scope)
+        # Another leader's newer term has cleared no job yet.
+        self._clearances.asked.notify()
+
+    async def _ask_until_cancelled(self, leader: Holder, scope: anyio.CancelScope) -> None:
+        connection = Connection(leader.address)
+        try:
+            with scope:
+                while True:
+                    await self._wait_for_question(leader)
+                    await self._ask(connection, leader)
+        finally:
+            self._clearances.note_contact(leader)
+            await connection.close()
+
+    async def _wait_for_question(self, leader: Holder) -> None:
+        """Wait for a job to ask for; a silent leader is asked for nothing until it replies again."""
+        while not self._clearances.is_silent(leader) and not self._find_questions(leader):
+            await self._clearances.asked.wait()
+
+    def _find_questions(self, leader: Holder) -> tuple[JobQuestion, ...]:
+        return self._scheduler.list_questions(leader)[:MAX_QUESTIONS]
+
+    async def _ask(self, connection: Connection, leader: Holder) -> None:
+        questions = self._find_questions(leader)
+        asked_s = time.monotonic()
+        terms = self._leadership.find_terms_held_by(self._holder)
+        request = encode_question(Question(self._holder, terms, questions))
+        reply: QuestionReply | None = None
+        with suppress(ExchangeError, CodecError):
+            reply = decode_question_reply(await connection.exchange(request, QUESTION_TIMEOUT_S))
+        if reply is None or reply.report.leader != leader:
+            self._clearances.note_silence(leader)
+            await anyio.sleep(RETRY_S)
+            return
+        self._leadership.add_terms(reply.terms)
+        self._scheduler.apply_report(reply.report, asked_s)
+        if self._find_questions(leader):
+            await self._clearances.asked.wait(RETRY_S)
--- a/packages/entry/src/fireflybridge_entry/_peer_service.py
+++ b/packages/entry/src/fireflybridge_entry/_peer_service.py
@@ -21,6 +21,12 @@
 )
 from fireflybridge_entry._job_scheduler import JobScheduler
 from fireflybridge_entry._leader_monitor import PEER_TIMEOUT_S
+from fireflybridge_entry._question_codec import (
+    QUESTION_PATH,
+    QuestionReply,
+    decode_question,
+    encode_question_reply,
+)
 from fireflybridge_http import Request, Response
 from fireflybridge_jobs import Answer, Moved, TimedOut
 from fireflybridge_leadership import Leadership
@@ -82,6 +88,8 @@
                 return await self._handle_submission(request)
             case ("POST", path) if path == TERMS_PATH:
                 return self._handle_terms(request)
+            case ("POST", path) if path == QUESTION_PATH:
+                return self._handle_question(request)
             case _:
                 return Response(404)
 
@@ -143,6 +151,17 @@
             return Response(400)
         return Response(200)
 
+    def _handle_question(self, request: Request) -> Response:
+        """Answer another leader, whose terms this host may not have read in the log yet."""
+        try:
+            question = decode_question(request.body)
+        except CodecError:
+            return Response(400)
+        self._leadership.add_terms(question.terms)
+        report = self._scheduler.describe_jobs(self._host.holder, question.asker, question.jobs)
+        terms = tuple(self._leadership.terms.values())
+        return encode_question_reply(QuestionReply(terms, report))
+
     def _may_take(self, submission: Submission, request: Request) -> bool:
         """Return whether this host leads and the sender still waits for the answer."""
         return (
--- /dev/null
+++ b/packages/entry/src/fireflybridge_entry/_question_codec.py
@@ -0,0 +1,123 @@
+"""Encoding of the questions of leaders about jobs, and of the replies."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from fireflybridge_clearances import (
+    Answered,
+    Held,
+    Holding,
+    JobQuestion,
+    LeaderReport,
+    MayRun,
+    NotHeld,
+)
+from fireflybridge_entry._codec import CodecError, check_holders, decode
+from fireflybridge_http import Request, Response
+from fireflybridge_jobs import Failed, Succeeded
+from fireflybridge_leadership import Holder, Term
+
+QUESTION_PATH = "/peer/questions"
+
+
+@dataclass(frozen=True, slots=True)
+class Question:
+    """Ask another leader about jobs; ``terms`` are those of the asking leader."""
+
+    asker: Holder
+    terms: tuple[Term, ...]
+    jobs: tuple[JobQuestion, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class QuestionReply:
+    """Hold what a leader says of jobs, and the terms that it knows."""
+
+    terms: tuple[Term, ...]
+    report: LeaderReport
+
+
+@dataclass(frozen=True, slots=True)
+class _HoldingMessage:
+    kind: str
+    reason: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class _ReplyMessage:
+    leader: Holder
+    terms: tuple[Term, ...]
+    fences: dict[str, int]
+    holdings: dict[str, _HoldingMessage]
+
+
+_question_decoder = msgspec.json.Decoder(Question)
+_reply_decoder = msgspec.json.Decoder(_ReplyMessage)
+_encoder = msgspec.json.Encoder()
+
+
+def encode_question(question: Question) -> Request:
+    """Return the request that asks another leader about jobs."""
+    return Request("POST", QUESTION_PATH, body=_encoder.encode(question))
+
+
+def decode_question(body: bytes) -> Question:
+    """Return the question in a request's body; raise ``CodecError`` if it can't be decoded."""
+    question = decode(_question_decoder, body)
+    check_holders((question.asker, *(term.holder for term in question.terms)))
+    return question
+
+
+def encode_question_reply(reply: QuestionReply) -> Response:
+    """Return the response to a question."""
+    report = reply.report
+    holdings = {job: _encode_holding(holding) for job, holding in report.holdings.items()}
+    message = _ReplyMessage(report.leader, reply.terms, dict(report.fences), holdings)
+    return Response(200, _encoder.encode(message))
+
+
+def decode_question_reply(response: Response) -> QuestionReply:
+    """Return the reply in a response; raise ``CodecError`` if it can't be decoded."""
+    if not response.succeeded:
+        raise CodecError(f"status {response.status}")
+    message = decode(_reply_decoder, response.body)
+    check_holders((message.leader, *(term.holder for term in message.terms)))
+    holdings = {job: _decode_holding(holding) for job, holding in message.holdings.items()}
+    return QuestionReply(message.terms, LeaderReport(message.leader, message.fences, holdings))
+
+
+def _encode_holding(holding: Holding) -> _HoldingMessage:
+    match holding:
+        case NotHeld():
+            return _HoldingMessage("not-held")
+        case MayRun():
+            return _HoldingMessage("may-run")
+        case Held():
+            return _HoldingMessage("held")
+        case Answered(answer=answer):
+            return _encode_result(answer)
+
+
+def _encode_result(answer: Succeeded | Failed) -> _HoldingMessage:
+    match answer:
+        case Succeeded():
+            return _HoldingMessage("succeeded")
+        case Failed(reason=reason):
+            return _HoldingMessage("failed", reason)
+
+
+def _decode_holding(message: _HoldingMessage) -> Holding:
+    match message:
+        case _HoldingMessage(kind="not-held"):
+            return NotHeld()
+        case _HoldingMessage(kind="may-run"):
+            return MayRun()
+        case _HoldingMessage(kind="held"):
+            return Held()
+        case _HoldingMessage(kind="succeeded"):
+            return Answered(Succeeded())
+        case _HoldingMessage(kind="failed", reason=reason):
+            return Answered(Failed(reason))
+        case _:
+            raise CodecError(f"unknown holding {message.kind!r}")
--- a/packages/execution/src/fireflybridge_execution/_active_job.py
+++ b/packages/execution/src/fireflybridge_execution/_active_job.py
@@ -36,6 +36,8 @@
         self.accepts_any_speed = False
         self.waiter_count = 0
         self.may_have_run = False
+        self.has_orphans = False
+        """Whether runs of an earlier leader were found before the job was cleared."""
         self.waiting: deque[TaskId] = deque()
         self.runs: dict[TaskId, PlacedRun] = {}
         self.failed_runs = 0
@@ -75,6 +77,11 @@
         self.placed_or_answered.set()
         return number
 
+    @property
+    def has_begun(self) -> bool:
+        """Return whether this host has placed or adopted a run."""
+        return self.first_placed_s is not None or bool(self.runs)
+
     @property
     def was_rejected(self) -> bool:
         """Return whether tasks were placed, and the upstreams have rejected every run."""
--- /dev/null
+++ b/packages/execution/src/fireflybridge_execution/_job_holdings.py
@@ -0,0 +1,84 @@
+"""What this leader says of jobs that another leader has received as well."""
+
+import time
+from collections.abc import Callable, Iterable, Mapping
+
+from fireflybridge_clearances import (
+    UNREACHABLE_S,
+    Answered,
+    Held,
+    Holding,
+    JobQuestion,
+    LeaderReport,
+    MayRun,
+    NotHeld,
+)
+from fireflybridge_execution._active_job import ActiveJob
+from fireflybridge_execution._recent_answers import RecentAnswers
+from fireflybridge_execution._session_manager import SessionManager
+from fireflybridge_execution._start_gate import StartGate
+from fireflybridge_jobs import Failed, Succeeded
+from fireflybridge_leadership import Holder
+
+
+class JobHoldings:
+    """Answer the questions of other leaders, and leave jobs to those that take precedence."""
+
+    def __init__(
+        self,
+        jobs: Mapping[str, ActiveJob],
+        sessions: SessionManager,
+        gate: StartGate,
+        defer: Callable[[ActiveJob], None],
+    ) -> None:
+        """Read the unanswered jobs from ``jobs``; ``defer`` ends the work on one of them."""
+        self.answers = RecentAnswers()
+        self._jobs = jobs
+        self._sessions = sessions
+        self._gate = gate
+        self._defer = defer
+
+    def list_questions(self, leader: Holder) -> tuple[JobQuestion, ...]:
+        """Return what another leader is to be asked now."""
+        jobs = self._gate.clearances.list_open(leader)
+        return tuple(JobQuestion(job, self._jobs[job].has_begun) for job in jobs)
+
+    def describe(
+        self, own: Holder, asker: Holder, questions: Iterable[JobQuestion]
+    ) -> LeaderReport:
+        """Return what is known of jobs to another leader that has received them."""
+        self._gate.clearances.note_contact(asker)
+        holdings = {question.job: self._describe_job(question, asker) for question in questions}
+        return LeaderReport(own, self._sessions.fences, holdings)
+
+    def _describe_job(self, question: JobQuestion, asker: Holder) -> Holding:
+        active = self._jobs.get(question.job)
+        answer = self.answers.find(question.job) if active is None else active.answer
+        if isinstance(answer, Succeeded | Failed):
+            return Answered(answer)
+        if active is not None and answer is None:
+            if self._keeps(active, question, asker):
+                return Held()
+            self._gate.clearances.yield_job(question.job, asker)
+            self._defer(active)
+        return MayRun() if self._may_run(question.job) else NotHeld()
+
+    def _keeps(self, active: ActiveJob, question: JobQuestion, asker: Holder) -> bool:
+        """Return whether this leader goes on with a job: the one that has begun it, or the first.
+
+        Both have begun a job only if they could not reach each other.
+        """
+        begun = active.has_begun or self._gate.clearances.is_cleared(active.job.id)
+        return self._gate.clearances.takes_precedence(asker) if begun == question.begun else begun
+
+    def _may_run(self, job: str) -> bool:
+        """Return whether a run of a job may be alive on the upstreams of this leader.
+
+        Upstreams that have not listed their runs long after a term began are passed over here, so
+        that one of them holds up the start of tasks in its own failure domain only.
+        """
+        now_s = time.monotonic()
+        is_new = now_s < self._gate.term_began_s + UNREACHABLE_S
+        if is_new and not self._gate.knows_runs(now_s):
+            return True
+        return bool(self._sessions.find_running_fences(job))
--- a/packages/execution/src/fireflybridge_execution/_scheduler.py
+++ b/packages/execution/src/fireflybridge_execution/_scheduler.py
@@ -5,6 +5,13 @@
 
 import anyio
 
+from fireflybridge_clearances import (
+    Answered,
+    Held,
+    JobClearances,
+    JobQuestion,
+    LeaderReport,
+)
 from fireflybridge_execution._active_job import ActiveJob, PlacedRun
 from fireflybridge_execution._commands import CommandConnector, RejectionReason
 from fireflybridge_execution._directory import DirectoryView
@@ -21,6 +28,7 @@
     UpstreamEjected,
     UpstreamSynced,
 )
+from fireflybridge_execution._job_holdings import JobHoldings
 from fireflybridge_execution._placer import Placer
 from fireflybridge_execution._queue import JobQueue
 from fireflybridge_execution._recent_ends import RecentEnds
@@ -44,6 +52,7 @@
     TaskId,
     TimedOut,
 )
+from fireflybridge_leadership import Holder
 from fireflybridge_pauses import PauseMonitor
 from fireflybridge_placement import (
     RETRY_AFTER_S,
@@ -54,6 +63,7 @@
 
 PLACEMENT_RETRY_S = 0.02  # notices the end of ejections and back-offs while jobs wait
 SKIPPED_NUMBERS = 8  # skipped after an upstream rejected a run number as old
+NOBODY = Holder("", "", "")
 MAX_BACKFILL_ATTEMPTS = 8  # a placement pass ends after this many jobs that don't fit
 
 
@@ -67,11 +77,14 @@
         on_superseded: Callable[[], None],
         pauses: PauseMonitor,
         crashes: CrashHistory | None = None,
+        clearances: JobClearances | None = None,
     ) -> None:
+        """Set the callbacks; without ``clearances`` there is no other leader."""
         self._on_event = on_event
         self._reports = Reports(on_event)
         self._on_superseded = on_superseded
-        self._gate = StartGate(pauses)
+        self._clearances = clearances or JobClearances(NOBODY, tuple)
+        self._gate = StartGate(pauses, self._clearances)
         self._sessions = SessionManager(connector, self, self.run_lost, self._gate)
         self._crashes = CrashHistory() if crashes is None else crashes
         self._earlier_runs = EarlierRunsTracker(self._sessions)
@@ -79,6 +92,7 @@
         self._queue = JobQueue()
         self._jobs: dict[str, ActiveJob] = {}
         self._recent_ends = RecentEnds()
+        self._holdings = JobHoldings(self._jobs, self._sessions, self._gate, self._defer)
 
     @property
     def job_count(self) -> int:
@@ -156,6 +170,40 @@
             if active.waiter_count == 0:
                 self._end_job(active)
 
+    # Agreement with other leaders
+
+    def list_questions(self, leader: Holder) -> tuple[JobQuestion, ...]:
+        """Return the jobs that another leader is to be asked for now."""
+        return self._holdings.list_questions(leader)
+
+    def describe_jobs(
+        self, own: Holder, asker: Holder, questions: Iterable[JobQuestion]
+    ) -> LeaderReport:
+        """Return what this leader knows of jobs that another one has received as well."""
+        return self._holdings.describe(own, asker, questions)
+
+    def apply_report(self, report: LeaderReport, asked_s: float) -> None:
+        """Apply what another leader says in reply to a question sent at a monotonic time."""
+        self._clearances.apply_report(report, asked_s)
+        for job, holding in report.holdings.items():
+            active = self._jobs.get(job)
+            if active is None:
+                continue
+            match holding:
+                case Held():
+                    self._defer(active)
+                case Answered(answer=answer):
+                    active.set_answer(answer)
+                case _ if active.waiting and self._clearances.find_holder(job) is None:
+                    self._enqueue(active)
+        self._place()
+
+    def _defer(self, active: ActiveJob) -> None:
+        """Leave a job to the leader that decides on it, whose answer is this job's as well."""
+        active.may_have_run = True
+        self._queue.remove(active)
+        self._stop_runs(active)
+
     # Life cycle of a job
 
     def _receive(self, job: Job, age_s: float, earlier: EarlierRuns | None) -> ActiveJob:
@@ -169,6 +217,7 @@
             self._gate.unknown_runs.upstreams,
         )
         self._jobs[job.id] = active
+        self._clearances.open(job.id)
         if earlier is not None:
             for task in self._recent_ends.list_done(job.id):
                 self._finish(active, task)
@@ -187,11 +236,12 @@
             refusal_s = self._compute_refusal_time(active)
             with anyio.move_on_after(max(refusal_s - time.monotonic(), 0)):
                 await active.placed_or_answered.wait()
+            await self._wait_for_clearance(active)
             if not active.placed_or_answered.is_set():
                 # A slow upstream is preferred to a refusal.
                 active.accepts_any_speed = True
                 self._place()
-            if not active.placed_or_answered.is_set():
+            if not active.placed_or_answered.is_set() and not active.may_have_run:
                 return self._refuse(active)
         with anyio.move_on_after(max(active.deadline_s - time.monotonic(), 0)):
             await active.answered.wait()
@@ -199,6 +249,17 @@
             return self._refuse(active)
         return active.set_answer(TimedOut("deadline reached"))
 
+    async def _wait_for_clearance(self, active: ActiveJob) -> None:
+        """Wait until the other leaders have cleared a job, one of them holds it, or it is answered."""
+        while (
+            not self._clearances.is_cleared(active.job.id)
+            and not active.may_have_run
+            and not active.placed_or_answered.is_set()
+            and time.monotonic() < active.deadline_s
+        ):
+            with anyio.move_on_after(PLACEMENT_RETRY_S):
+                await active.placed_or_answered.wait()
+
     def _compute_refusal_time(self, active: ActiveJob) -> float:
         critical_path_ms = self._placer.predict_critical_path_ms(active)
         return compute_refusal_time(active.job, active.received_s, critical_path_ms)
@@ -211,10 +272,12 @@
         if self._jobs.get(active.job.id) is not active:
             return
         del self._jobs[active.job.id]
+        self._clearances.close(active.job.id)
         self._queue.remove(active)
         answer = active.set_answer(TimedOut("caller left"))
         if not isinstance(answer, Moved):
             self._stop_runs(active)
+        self._holdings.answers.record(active.job.id, answer)
         self._reports.job_ended(active, answer)
 
     def _stop_runs(self, active: ActiveJob) -> None:
@@ -261,12 +324,20 @@
                 return
             if not self._may_start(active, now_s):
                 continue
+            self._adopt_orphans(active)
             self._place_job(active, now_s)
             if active.waiting and active.answer is None:
                 attempts_left -= 1
             else:
                 self._queue.remove(active)
 
+    def _adopt_orphans(self, active: ActiveJob) -> None:
+        """Adopt the runs of an earlier leader that were found before the job was cleared."""
+        if active.has_orphans:
+            active.has_orphans = False
+            for session in self._sessions:
+                session.adopt_orphans(active.job.id)
+
     def _place_job(self, active: ActiveJob, now_s: float) -> None:
         """Place a job's waiting tasks; an unexpected error ends the job and not the scheduler."""
         try:
@@ -288,6 +359,8 @@
         for active in self._queue.list_first():
             if not self._gate.holds_request(active.requested_s):
                 self._give_back(active)
+            elif self._clearances.find_holder(active.job.id) is not None:
+                self._queue.remove(active)
             elif self._placer.will_miss_deadline(active, now_s):
                 self._abandon(active, "can't be finished before its deadline")
             elif self._earlier_runs.stay_unknown(active, now_s):
@@ -302,7 +375,9 @@
                 self._queue.remove(active)
 
     def _may_start(self, active: ActiveJob, now_s: float) -> bool:
-        return self._gate.admits(active.requested_s) and self._earlier_runs.are_known(active, now_s)
+        return self._gate.admits(
+            active.job.id, active.requested_s
+        ) and self._earlier_runs.are_known(active, now_s)
 
     def _give_back(self, active: ActiveJob) -> None:
         """Answer a job so that only an entry host whose caller still waits submits it again."""
@@ -409,6 +484,9 @@
         if active is None or active.answer is not None:
             return None
         is_own = active.is_current_run(run.task, upstream, run.number)
+        if not is_own and not self._clearances.is_cleared(active.job.id):
+            active.has_orphans = True
+            return None
         if not is_own and not active.adopt(run.task, upstream, run.number):
             return None
         self._on_event(EarlierRunAdopted(run.task, run.number, upstream))
--- a/packages/execution/src/fireflybridge_execution/_start_gate.py
+++ b/packages/execution/src/fireflybridge_execution/_start_gate.py
@@ -3,15 +3,20 @@
 import time
 from math import inf
 
+from fireflybridge_clearances import JobClearances
 from fireflybridge_execution._directory import DirectoryView
 from fireflybridge_execution._unknown_runs import UnknownRuns
 from fireflybridge_pauses import PauseMonitor
 
 
 class StartGate:
-    """Decide whether what a start rests on holds: its request, the upstreams' entries and runs."""
+    """Decide whether what a start rests on holds.
 
-    def __init__(self, pauses: PauseMonitor) -> None:
+    That is the request, the clearance of its job, and the upstreams' entries and runs.
+    """
+
+    def __init__(self, pauses: PauseMonitor, clearances: JobClearances) -> None:
+        self.clearances = clearances
         self.view = DirectoryView({}, -inf)
         """The newest view of the directory."""
         self.term_began_s = -inf
@@ -23,13 +28,14 @@
         """Return whether the sender of a request read at a monotonic time still waits."""
         return self._pauses.is_current(requested_s)
 
-    def admits(self, requested_s: float) -> bool:
-        """Return whether a run requested at a monotonic time may be started now."""
+    def admits(self, job: str, requested_s: float) -> bool:
+        """Return whether a run of a job requested at a monotonic time may be started now."""
         now_s = time.monotonic()
         return (
             self.holds_request(requested_s)
             and self.view.allows_starts(now_s)
             and self.knows_runs(now_s)
+            and self.clearances.is_cleared(job)
         )
 
     def knows_runs(self, now_s: float) -> bool:
--- a/packages/host/src/fireflybridge_host/_host.py
+++ b/packages/host/src/fireflybridge_host/_host.py
@@ -10,10 +10,12 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from fireflybridge_clearances import JobClearances
 from fireflybridge_entry import (
     Configuration,
     ConfigurationSource,
     JobSubmitter,
+    LeaderLinks,
     LeaderMonitor,
     Limits,
     Peer,
@@ -86,12 +88,14 @@
         self._route_table = RouteTable()
         self._pauses = PauseMonitor()
         crashes = CrashHistory()
+        clearances = JobClearances(holder, lambda: self._leadership.terms.values())
         self._scheduler = Scheduler(
             ports.commands,
             self._event_logger.record_execution,
             self._leadership.changed.notify,
             self._pauses,
             crashes,
+            clearances,
         )
         self._directory = UpstreamDirectory(
             ports.directory, self._scheduler.set_upstreams, self._event_logger.record_store_error
@@ -103,6 +107,7 @@
             peer, self._scheduler, self._leadership, self._pauses, crashes
         )
         monitor = LeaderMonitor(self._leadership, peer, crashes)
+        links = LeaderLinks(holder, self._leadership, self._scheduler, clearances)
         former_leaders = FormerLeaders(holder, self._leadership, monitor)
         self._election = LeaderElection(
             settings,
@@ -143,6 +148,7 @@
             "heartbeats of senders": self._peer_service.watch_senders,
             "terms of leadership": self._election.apply_terms,
             "leader election": self._election.run,
+            "other leaders": links.run,
             "former leaders": former_leaders.notify,
         }
         self._draining = False
