Say in the logs which leader a job was left to, and which leaders did not reply

A job that reached two leaders showed as received and ended at both, so the logs did not tell which of them decided and why. Event 7110 names the leader that has the job; 7102 names the leaders that were passed over. A job stays queued while another leader has it, so it runs when that leader is killed: features/clearances.feature has the order.

--- a/features/clearances.feature
+++ b/features/clearances.feature
@@ -39,6 +39,11 @@
     When a leader is killed while it runs a job that is sent to another one
     Then no two runs of a task were alive at one time
 
+  Scenario: A job that was left to a leader runs although that one is killed
+    # Guards against a caller who waits in vain for the answer of a leader that is gone.
+    When a leader is killed to which another one has left a job
+    Then the second leader runs the job after the first run has ended
+
   Scenario: A reply from before a job was yielded clears nothing
     # Guards against a late reply of a leader that has received the job since then.
     When a reply arrives after the job was left to the leader that sent it
--- a/features/steps/clearances.py
+++ b/features/steps/clearances.py
@@ -177,6 +177,21 @@
     run_linked(context, play)
 
 
+@when("a leader is killed to which another one has left a job")
+def kill_after_defer(context: Context) -> None:
+    async def play(first: LinkedLeader, second: LinkedLeader, group: TaskGroup) -> None:
+        await begin(context, first, second)
+        group.start_soon(first.submit, JOB)
+        await wait_until(lambda: has_run(context, "u0", JOB))
+        group.start_soon(second.submit, JOB)
+        await wait_until(lambda: second.deferred == [JOB.id])
+        context.ran_beside = has_run(context, "u1", JOB)
+        first.kill()
+        await wait_until(lambda: has_run(context, "u1", JOB))
+
+    run_linked(context, play)
+
+
 @then("the job runs")
 def check_run(context: Context) -> None:
     assert context.has_run
--- a/features/support/linked_leaders.py
+++ b/features/support/linked_leaders.py
@@ -10,7 +10,7 @@
 
 from fireflybridge_clearances import JobClearances
 from fireflybridge_entry import LeaderLinks, Peer, PeerService
-from fireflybridge_execution import ExecutionEvent, Scheduler, TasksPlaced
+from fireflybridge_execution import ExecutionEvent, JobDeferred, Scheduler, TasksPlaced
 from fireflybridge_http import Request, Response, Server, ServerLimits
 from fireflybridge_leadership import Holder, Leadership, Term
 from support.leased_upstreams import find_overlaps, list_spans
@@ -28,6 +28,8 @@
         self.leadership = Leadership(None, lambda _error: None)  # type: ignore[arg-type]
         self.placed: list[str] = []
         """The jobs of which it has placed tasks."""
+        self.deferred: list[str] = []
+        """The jobs that it has left to another leader."""
         self.hold_requests = anyio.Event()
         """Requests of other leaders are handled once it is set."""
         self.hold_requests.set()
@@ -65,8 +67,13 @@
         return await self._service.handle(request)
 
     def _record(self, event: ExecutionEvent) -> None:
-        if isinstance(event, TasksPlaced):
-            self.placed.append(event.job)
+        match event:
+            case TasksPlaced(job=job):
+                self.placed.append(job)
+            case JobDeferred(job=job):
+                self.deferred.append(job)
+            case _:
+                pass
 
     def learn(self, *terms: Term) -> None:
         """Learn of terms, and lead the failure domains of those that this leader holds."""
--- a/packages/clearances/src/fireflybridge_clearances/_job_clearances.py
+++ b/packages/clearances/src/fireflybridge_clearances/_job_clearances.py
@@ -58,11 +58,16 @@
         if not terms:
             return True
         clearance = self._jobs.get(job, _Clearance())
-        return all(_covers(clearance, term) or self._is_unreachable(term.holder) for term in terms)
+        return self.find_holder(job) is None and all(
+            _covers(clearance, term) or self._is_unreachable(term.holder) for term in terms
+        )
 
     def find_holder(self, job: str) -> Holder | None:
         """Return the other leader that decides on a job, if this one knows it."""
-        return self._jobs.get(job, _Clearance()).holder
+        holder = self._jobs.get(job, _Clearance()).holder
+        if holder is None or holder not in self.list_leaders() or self._is_unreachable(holder):
+            return None
+        return holder
 
     def list_open(self, leader: Holder) -> tuple[str, ...]:
         """Return the jobs that another leader has not cleared yet."""
@@ -77,6 +82,10 @@
         """Return the other leaders."""
         return frozenset(term.holder for term in self._list_other_terms())
 
+    def list_unreachable(self) -> tuple[str, ...]:
+        """Return the hosts of the leaders that are passed over, since they don't reply."""
+        return tuple(leader.host for leader in self.list_leaders() if self._is_unreachable(leader))
+
     def takes_precedence(self, leader: Holder) -> bool:
         """Return whether this leader takes a job that both have received and neither has begun."""
         return _rank(self._holder) < _rank(leader)
--- a/packages/execution/src/fireflybridge_execution/_active_job.py
+++ b/packages/execution/src/fireflybridge_execution/_active_job.py
@@ -36,6 +36,8 @@
         self.accepts_any_speed = False
         self.waiter_count = 0
         self.may_have_run = False
+        self.is_deferred = False
+        """Whether another leader was last known to decide on the job."""
         self.has_orphans = False
         """Whether runs of an earlier leader were found before the job was cleared."""
         self.waiting: deque[TaskId] = deque()
--- a/packages/execution/src/fireflybridge_execution/_events.py
+++ b/packages/execution/src/fireflybridge_execution/_events.py
@@ -44,13 +44,27 @@
 class TasksPlaced:
     """Tasks of a job were placed in one pass; ``waiting`` is how many of the job still wait.
 
-    ``unlisted`` holds the upstreams that have not listed their runs under this host's terms.
+    ``unlisted`` holds the upstreams that have not listed their runs under this host's terms,
+    ``unreachable`` the other leaders that have not cleared the job, since they don't reply.
     """
 
     job: str
     placements: tuple[Placement, ...]
     waiting: int
     unlisted: tuple[str, ...]
+    unreachable: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class JobDeferred:
+    """A job is left to another leader, which has received it as well, at the named host.
+
+    ``had_runs`` is whether this host stops runs of it.
+    """
+
+    job: str
+    leader: str
+    had_runs: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -173,6 +187,7 @@
 ExecutionEvent = (
     JobReceived
     | TasksPlaced
+    | JobDeferred
     | RunNotCompleted
     | StoppedRunEnded
     | EarlierRunAdopted
--- a/packages/execution/src/fireflybridge_execution/_job_holdings.py
+++ b/packages/execution/src/fireflybridge_execution/_job_holdings.py
@@ -29,9 +29,9 @@
         jobs: Mapping[str, ActiveJob],
         sessions: SessionManager,
         gate: StartGate,
-        defer: Callable[[ActiveJob], None],
+        defer: Callable[[ActiveJob, Holder], None],
     ) -> None:
-        """Read the unanswered jobs from ``jobs``; ``defer`` ends the work on one of them."""
+        """Read the unanswered jobs from ``jobs``; ``defer`` leaves one to another leader."""
         self.answers = RecentAnswers()
         self._jobs = jobs
         self._sessions = sessions
@@ -60,7 +60,7 @@
             if self._keeps(active, question, asker):
                 return Held()
             self._gate.clearances.yield_job(question.job, asker)
-            self._defer(active)
+            self._defer(active, asker)
         return MayRun() if self._may_run(question.job) else NotHeld()
 
     def _keeps(self, active: ActiveJob, question: JobQuestion, asker: Holder) -> bool:
--- a/packages/execution/src/fireflybridge_execution/_scheduler.py
+++ b/packages/execution/src/fireflybridge_execution/_scheduler.py
@@ -11,6 +11,8 @@
     JobClearances,
     JobQuestion,
     LeaderReport,
+    MayRun,
+    NotHeld,
 )
 from fireflybridge_execution._active_job import ActiveJob, PlacedRun
 from fireflybridge_execution._commands import CommandConnector, RejectionReason
@@ -21,6 +23,7 @@
     EarlierRunAdopted,
     EarlierRunEnded,
     ExecutionEvent,
+    JobDeferred,
     RunMoved,
     TasksPlaced,
     UnexpectedError,
@@ -191,17 +194,19 @@
                 continue
             match holding:
                 case Held():
-                    self._defer(active)
+                    self._defer(active, report.leader)
                 case Answered(answer=answer):
                     active.set_answer(answer)
-                case _ if active.waiting and self._clearances.find_holder(job) is None:
-                    self._enqueue(active)
+                case NotHeld() | MayRun():
+                    active.is_deferred = False
         self._place()
 
-    def _defer(self, active: ActiveJob) -> None:
+    def _defer(self, active: ActiveJob, leader: Holder) -> None:
         """Leave a job to the leader that decides on it, whose answer is this job's as well."""
+        if not active.is_deferred:
+            active.is_deferred = True
+            self._on_event(JobDeferred(active.job.id, leader.host, bool(active.runs)))
         active.may_have_run = True
-        self._queue.remove(active)
         self._stop_runs(active)
 
     # Life cycle of a job
@@ -348,7 +353,10 @@
             return
         if placements:
             unlisted = self._gate.unknown_runs.upstreams
-            self._on_event(TasksPlaced(active.job.id, placements, len(active.waiting), unlisted))
+            unreachable = self._clearances.list_unreachable()
+            self._on_event(
+                TasksPlaced(active.job.id, placements, len(active.waiting), unlisted, unreachable)
+            )
 
     def _abandon_late_jobs(self) -> None:
         """Answer jobs that can't be done, or whose earlier runs can't be ruled out, in time.
@@ -360,7 +368,7 @@
             if not self._gate.holds_request(active.requested_s):
                 self._give_back(active)
             elif self._clearances.find_holder(active.job.id) is not None:
-                self._queue.remove(active)
+                pass
             elif self._placer.will_miss_deadline(active, now_s):
                 self._abandon(active, "can't be finished before its deadline")
             elif self._earlier_runs.stay_unknown(active, now_s):
--- a/packages/host/src/fireflybridge_host/_event_logger.py
+++ b/packages/host/src/fireflybridge_host/_event_logger.py
@@ -12,6 +12,7 @@
     EarlierRunAdopted,
     EarlierRunEnded,
     ExecutionEvent,
+    JobDeferred,
     JobEnded,
     JobReceived,
     RunKey,
@@ -93,6 +94,14 @@
                 )
             case TasksPlaced():
                 self._record_placements(event)
+            case JobDeferred(job=job, leader=leader, had_runs=had_runs):
+                self._log.info(
+                    "job left to another leader",
+                    event_id=7110,
+                    job=job,
+                    leader=leader,
+                    had_runs=had_runs,
+                )
             case RunNotCompleted():
                 self._log.warning(
                     "run ended badly",
@@ -271,6 +280,7 @@
             ],
             unlisted=event.unlisted[:MAX_LISTED_UPSTREAMS],
             unlisted_count=len(event.unlisted),
+            unreachable=event.unreachable,
         )
 
     def _record_move(self, event: RunMoved) -> None:
