--- a/features/malformed.feature
+++ b/features/malformed.feature
@@ -20,6 +20,8 @@
       | heartbeat            |
       | heartbeat reply      |
       | terms of another host |
+      | question of a leader |
+      | reply to a question  |
       | submission           |
       | answer               |
       | settings             |
--- a/features/steps/malformed.py
+++ b/features/steps/malformed.py
@@ -35,6 +35,12 @@
     decode_submission,
     decode_terms,
 )
+from fireflybridge_entry._question_codec import (
+    Question,
+    QuestionReply,
+    decode_question,
+    decode_question_reply,
+)
 from fireflybridge_execution import Hold, Start
 from fireflybridge_http import Connection, ConnectionPool, ExchangeError, Request, Response
 from fireflybridge_jobs import (
@@ -346,6 +352,10 @@
             return [holder]
         case HeartbeatReply(sender=sender, terms=terms, peers=peers):
             return [term.holder for term in terms] + [peer.holder for peer in (sender, *peers)]
+        case Question(asker=asker, terms=terms):
+            return [asker, *(term.holder for term in terms)]
+        case QuestionReply(terms=terms, report=report):
+            return [report.leader, *(term.holder for term in terms)]
         case (Term(), *_):
             return [term.holder for term in message]
         case _:
@@ -360,6 +370,10 @@
     await check_response_codec(body, decode_answer)
 
 
+async def check_question_reply(body: bytes) -> None:
+    await check_response_codec(body, decode_question_reply)
+
+
 async def check_heartbeat_reply(body: bytes) -> None:
     await check_response_codec(body, decode_heartbeat_reply)
 
@@ -379,6 +393,13 @@
     "terms": [{"domain": "z1", "holder": HOLDER, "fence": 1000}],
     "peers": [_peer],
 }
+_question = {"asker": HOLDER, "terms": [_term], "jobs": [{"job": JOB_ID, "begun": True}]}
+_question_reply = {
+    "leader": HOLDER,
+    "terms": [_term],
+    "fences": {"z1": 2**30},
+    "holdings": {JOB_ID: {"kind": "failed", "reason": "a task failed"}},
+}
 _report = {
     "clock_ms": 482113,
     "born": 17,
@@ -413,6 +434,8 @@
     "heartbeat": (damaged_json(_peer), check_codec(decode_heartbeat)),
     "terms of another host": (damaged_json([_term]), check_codec(decode_terms)),
     "heartbeat reply": (damaged_json(_reply), check_heartbeat_reply),
+    "question of a leader": (damaged_json(_question), check_codec(decode_question)),
+    "reply to a question": (damaged_json(_question_reply), check_question_reply),
     "submission": (damaged_json(_submission), check_codec(decode_submission)),
     "answer": (damaged_json({"kind": "not-run", "reason": "no-room"}), check_answer),
     "settings": (_damaged_settings, check_settings_file),
