--- a/packages/execution/src/fireflybridge_execution/_command_sender.py
+++ b/packages/execution/src/fireflybridge_execution/_command_sender.py
@@ -105,7 +105,7 @@
             return
         # A pause after this time ends the lease that the start carries, and the upstream refuses it.
         now_s = time.monotonic()
-        if is_checked and self._gate.admits(run.requested_s):
+        if is_checked and self._gate.admits(run.task.job, run.requested_s):
             await self._send_start(connection, replace(run, phase=RunPhase.STARTING), now_s)
         else:
             self._link.withdraw(run, None)
--- a/packages/execution/src/fireflybridge_execution/_scheduler.py
+++ b/packages/execution/src/fireflybridge_execution/_scheduler.py
@@ -29,12 +29,14 @@
 from fireflybridge_execution._session_manager import SessionManager
 from fireflybridge_execution._start_gate import StartGate
 from fireflybridge_jobs import (
+    LOCAL_SENDER,
     Answer,
     Crash,
     EarlierRuns,
     EndedRun,
     Failed,
     Job,
+    JobSender,
     Moved,
     NotRun,
     RefusalReason,
@@ -131,14 +133,28 @@
         self._placer.estimator.retain(view.upstreams.keys())
         self._place()
 
-    async def submit(self, job: Job, age_s: float, earlier: EarlierRuns | None) -> Answer:
+    async def submit(
+        self,
+        job: Job,
+        age_s: float,
+        earlier: EarlierRuns | None,
+        sender: JobSender = LOCAL_SENDER,
+    ) -> Answer:
         """Return the answer to a job that its entry host received ``age_s`` ago.
 
         ``earlier`` says where runs that another leader started may be alive. If every call for a
         job is cancelled, its runs are stopped. A second submission of the same job shares the
         answer of the first. A submission that may have waited while this host was paused is answered
-        ``Moved``, so that the entry host sends it again if its caller still waits.
+        ``Moved``, so that the entry host sends it again if its caller still waits. Nothing starts
+        while none of the job's senders is known to wait.
         """
+        with self._gate.senders.add(job.id, sender):
+            return await self._join(job, age_s, earlier, sender)
+
+    async def _join(
+        self, job: Job, age_s: float, earlier: EarlierRuns | None, sender: JobSender
+    ) -> Answer:
+        """Wait for the answer to a job, which this submission or an earlier one has begun."""
         now_s = time.monotonic()
         if not self._gate.holds_request(now_s):
             return Moved(self._earlier_runs.add_running(job.id, earlier))
@@ -302,7 +318,9 @@
                 self._queue.remove(active)
 
     def _may_start(self, active: ActiveJob, now_s: float) -> bool:
-        return self._gate.admits(active.requested_s) and self._earlier_runs.are_known(active, now_s)
+        return self._gate.admits(
+            active.job.id, active.requested_s
+        ) and self._earlier_runs.are_known(active, now_s)
 
     def _give_back(self, active: ActiveJob) -> None:
         """Answer a job so that only an entry host whose caller still waits submits it again."""
--- a/packages/execution/src/fireflybridge_execution/_start_gate.py
+++ b/packages/execution/src/fireflybridge_execution/_start_gate.py
@@ -5,11 +5,12 @@
 
 from fireflybridge_execution._directory import DirectoryView
 from fireflybridge_execution._unknown_runs import UnknownRuns
+from fireflybridge_execution._waiting_senders import WaitingSenders
 from fireflybridge_pauses import PauseMonitor
 
 
 class StartGate:
-    """Decide whether what a start rests on holds: its request, the upstreams' entries and runs."""
+    """Decide whether what a start rests on holds: its senders, the upstreams' entries and runs."""
 
     def __init__(self, pauses: PauseMonitor) -> None:
         self.view = DirectoryView({}, -inf)
@@ -17,17 +18,19 @@
         self.term_began_s = -inf
         """When the newest of this host's terms began, on the monotonic clock."""
         self.unknown_runs = UnknownRuns()
+        self.senders = WaitingSenders()
         self._pauses = pauses
 
     def holds_request(self, requested_s: float) -> bool:
         """Return whether the sender of a request read at a monotonic time still waits."""
         return self._pauses.is_current(requested_s)
 
-    def admits(self, requested_s: float) -> bool:
-        """Return whether a run requested at a monotonic time may be started now."""
+    def admits(self, job: str, requested_s: float) -> bool:
+        """Return whether a run of a job that was requested at a monotonic time may start now."""
         now_s = time.monotonic()
         return (
             self.holds_request(requested_s)
+            and self.senders.still_wait(job)
             and self.view.allows_starts(now_s)
             and self.knows_runs(now_s)
         )
--- a/packages/jobs/src/fireflybridge_jobs/__init__.py
+++ b/packages/jobs/src/fireflybridge_jobs/__init__.py
@@ -13,15 +13,18 @@
 )
 from fireflybridge_jobs._jobs import Job, RoutePolicy, Step, TaskId
 from fireflybridge_jobs._runs import Crash, EndedRun, RunningRun, RunOutcome, RunReport
+from fireflybridge_jobs._senders import LOCAL_SENDER, JobSender
 from fireflybridge_jobs._upstreams import Resources, UpstreamInfo, UpstreamState
 
 __all__ = [
+    "LOCAL_SENDER",
     "Answer",
     "Crash",
     "EarlierRuns",
     "EndedRun",
     "Failed",
     "Job",
+    "JobSender",
     "Moved",
     "NotRun",
     "RefusalReason",
