Take and start jobs only for senders that return a fresh stamp of the leader's clock

A reply to a heartbeat carries a stamp, which the entry host returns in heartbeats and submissions. Heartbeats without a newer stamp don't keep jobs running, and withdrawn submissions are named in heartbeats until a reply acknowledges them. Hosts of earlier releases send and get no stamps and are treated as before.

The two stand-ins for a scheduler in the steps get the new parameter.

--- a/features/late_submissions.feature
+++ b/features/late_submissions.feature
@@ -2,7 +2,6 @@
   A leader and an entry host exchange heartbeats and jobs over loopback connections, through a relay
   that holds back what the test says. A leader starts nothing for a sender that may no longer wait.
 
-  @known_red
   Scenario Outline: A submission that its entry host has given up starts nothing when it is read
     # Guards against a start for a job that its entry host has sent to the next leader (issue 38).
     Given a leader and an entry host that follows it through a relay
--- a/features/steps/old_requests.py
+++ b/features/steps/old_requests.py
@@ -25,9 +25,11 @@
 from fireflybridge_http import ConnectionPool, Request, Response, Server, ServerLimits
 from fireflybridge_http._server_connection import ServerConnection
 from fireflybridge_jobs import (
+    LOCAL_SENDER,
     Answer,
     EarlierRuns,
     Job,
+    JobSender,
     Moved,
     NotRun,
     RefusalReason,
@@ -369,7 +371,13 @@
 class TakingScheduler:
     """A scheduler that answers each job at once."""
 
-    async def submit(self, job: Job, age_s: float, earlier: EarlierRuns | None) -> Answer:
+    async def submit(
+        self,
+        job: Job,
+        age_s: float,
+        earlier: EarlierRuns | None,
+        sender: JobSender = LOCAL_SENDER,
+    ) -> Answer:
         """Answer a job."""
         return Succeeded()
 
--- a/features/steps/pauses.py
+++ b/features/steps/pauses.py
@@ -18,7 +18,7 @@
     encode_submission,
 )
 from fireflybridge_http import Connection, ExchangeError, ExchangeStep, Request, Response
-from fireflybridge_jobs import Answer, EarlierRuns, Job, Succeeded
+from fireflybridge_jobs import LOCAL_SENDER, Answer, EarlierRuns, Job, JobSender, Succeeded
 from fireflybridge_leadership import Holder, Leadership, Term
 from fireflybridge_pauses import PauseMonitor
 
@@ -33,7 +33,13 @@
     def __init__(self) -> None:
         self.cancelled = False
 
-    async def submit(self, job: Job, age_s: float, earlier: EarlierRuns | None) -> Answer:
+    async def submit(
+        self,
+        job: Job,
+        age_s: float,
+        earlier: EarlierRuns | None,
+        sender: JobSender = LOCAL_SENDER,
+    ) -> Answer:
         """Wait until cancelled."""
         try:
             await anyio.sleep_forever()
--- a/features/support/entry_pair.py
+++ b/features/support/entry_pair.py
@@ -7,7 +7,14 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from fireflybridge_entry import JobSubmitter, LeaderMonitor, Peer, PeerService, RemoteLeader
+from fireflybridge_entry import (
+    JobSubmitter,
+    LeaderContacts,
+    LeaderMonitor,
+    Peer,
+    PeerService,
+    RemoteLeader,
+)
 from fireflybridge_execution import ExecutionEvent, Scheduler, TasksPlaced
 from fireflybridge_http import Server, ServerLimits
 from fireflybridge_jobs import Answer, Job
@@ -61,8 +68,9 @@
         self._leadership = make_leadership(leader)
         self._leader = RemoteLeader(leader.address, leader.incarnation, {DOMAIN: FENCE})
         peer = Peer(Holder("h2", "entry-1", "127.0.0.1:2"), DOMAIN, 1.0)
-        self._monitor = LeaderMonitor(self._leadership, peer)
-        self._submitter = JobSubmitter("h2", mock.Mock(), PauseMonitor(), "entry-1")
+        contacts = LeaderContacts()
+        self._monitor = LeaderMonitor(self._leadership, peer, contacts=contacts)
+        self._submitter = JobSubmitter("h2", mock.Mock(), PauseMonitor(), "entry-1", contacts)
 
     async def follow(self) -> None:
         """Submit to the leader until it is lost, and to nobody after that."""
--- a/packages/entry/src/fireflybridge_entry/__init__.py
+++ b/packages/entry/src/fireflybridge_entry/__init__.py
@@ -9,6 +9,7 @@
     RouteTable,
 )
 from fireflybridge_entry._job_scheduler import JobScheduler
+from fireflybridge_entry._leader_contacts import LeaderContacts
 from fireflybridge_entry._leader_monitor import LeaderLoss, LeaderMonitor
 from fireflybridge_entry._peer_service import PeerService
 from fireflybridge_entry._submission import JobSubmitter, LocalLeader, RemoteLeader
@@ -19,6 +20,7 @@
     "ConfigurationSource",
     "JobScheduler",
     "JobSubmitter",
+    "LeaderContacts",
     "LeaderLoss",
     "LeaderMonitor",
     "Limits",
--- a/packages/entry/src/fireflybridge_entry/_codec.py
+++ b/packages/entry/src/fireflybridge_entry/_codec.py
@@ -30,6 +30,14 @@
     """Signal a message from another host that can't be decoded."""
 
 
+@dataclass(frozen=True, slots=True)
+class LeaderStamp:
+    """Hold a time on the monotonic clock of one incarnation of a leader, for that one to compare."""
+
+    incarnation: str
+    time_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class Submission:
     """Hold a job sent to the leader; ``age_ms`` is the time since the sender received it.
@@ -43,6 +51,10 @@
     earlier: EarlierRuns | None
     incarnation: str = ""
     """The sender's; hosts of earlier releases don't tell it."""
+    number: int = 0
+    """Identifies the submission among those of the sender's process; 0 in earlier releases."""
+    stamp: LeaderStamp | None = None
+    """The newest one that the sender has got from this leader; none in earlier releases."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +67,15 @@
     draining: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """Hold a heartbeat: its sender, the newest stamp that this got, and withdrawn submissions."""
+
+    sender: Peer
+    stamp: LeaderStamp | None = None
+    withdrawn: tuple[int, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class HeartbeatReply:
     """Hold the reply to a heartbeat: the replying host, the terms it knows, peers and crashes.
@@ -67,6 +88,20 @@
     terms: tuple[Term, ...]
     peers: tuple[Peer, ...]
     crashes: tuple[Crash, ...] = ()
+    stamp: LeaderStamp | None = None
+    """When the reply was made; the sender of the heartbeat returns it in its next messages."""
+
+
+@dataclass(frozen=True, slots=True)
+class _HeartbeatMessage:
+    """A heartbeat as encoded: earlier releases read the fields of a ``Peer`` only."""
+
+    holder: Holder
+    failure_domain: str
+    strength: float
+    draining: bool = False
+    stamp: LeaderStamp | None = None
+    withdrawn: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,7 +115,7 @@
 T = TypeVar("T")
 
 _submission_decoder = msgspec.json.Decoder(Submission)
-_heartbeat_decoder = msgspec.json.Decoder(Peer)
+_heartbeat_decoder = msgspec.json.Decoder(_HeartbeatMessage)
 _reply_decoder = msgspec.json.Decoder(HeartbeatReply)
 _answer_decoder = msgspec.json.Decoder(_AnswerMessage)
 _terms_decoder = msgspec.json.Decoder(tuple[Term, ...])
@@ -97,16 +132,22 @@
     return _decode(_submission_decoder, body)
 
 
-def encode_heartbeat(sender: Peer) -> Request:
+def encode_heartbeat(
+    sender: Peer, stamp: LeaderStamp | None = None, withdrawn: tuple[int, ...] = ()
+) -> Request:
     """Return the request that reports this host to another one."""
-    return Request("POST", HEARTBEAT_PATH, body=_encoder.encode(sender))
-
-
-def decode_heartbeat(body: bytes) -> Peer:
-    """Return the sender of a heartbeat; raise ``CodecError`` if it can't be decoded."""
-    sender = _decode(_heartbeat_decoder, body)
-    _check_addresses((sender.holder,))
-    return sender
+    message = _HeartbeatMessage(
+        sender.holder, sender.failure_domain, sender.strength, sender.draining, stamp, withdrawn
+    )
+    return Request("POST", HEARTBEAT_PATH, body=_encoder.encode(message))
+
+
+def decode_heartbeat(body: bytes) -> Heartbeat:
+    """Return the heartbeat in a request's body; raise ``CodecError`` if it can't be decoded."""
+    message = _decode(_heartbeat_decoder, body)
+    _check_addresses((message.holder,))
+    sender = Peer(message.holder, message.failure_domain, message.strength, message.draining)
+    return Heartbeat(sender, message.stamp, message.withdrawn)
 
 
 def encode_heartbeat_reply(reply: HeartbeatReply) -> Response:
--- a/packages/entry/src/fireflybridge_entry/_leader_monitor.py
+++ b/packages/entry/src/fireflybridge_entry/_leader_monitor.py
@@ -15,7 +15,8 @@
     encode_heartbeat,
     encode_terms,
 )
-from fireflybridge_http import Connection, ExchangeError
+from fireflybridge_entry._leader_contacts import LeaderContacts
+from fireflybridge_http import Connection, ExchangeError, Request
 from fireflybridge_leadership import Holder, Leadership, Term
 from fireflybridge_pauses import WaitingClock
 from fireflybridge_placement import CrashHistory
@@ -38,18 +39,22 @@
     """Exchange heartbeats with a leader, and keep the terms, peers and crashes from its replies."""
 
     def __init__(
-        self, leadership: Leadership, host: Peer, crashes: CrashHistory | None = None
+        self,
+        leadership: Leadership,
+        host: Peer,
+        crashes: CrashHistory | None = None,
+        contacts: LeaderContacts | None = None,
     ) -> None:
         self.peers: tuple[Peer, ...] = ()
         """The other known hosts of this host's failure domain."""
         self._leadership = leadership
         self._host = host
         self._crashes = CrashHistory() if crashes is None else crashes
-        self._heartbeat = encode_heartbeat(host)
+        self._contacts = LeaderContacts() if contacts is None else contacts
 
     def start_draining(self) -> None:
         """Report in all further heartbeats that this host is about to stop."""
-        self._heartbeat = encode_heartbeat(replace(self._host, draining=True))
+        self._host = replace(self._host, draining=True)
 
     async def watch(self, term: Term, duration_s: float | None = None) -> LeaderLoss | None:
         """Return why the leader was lost, or None after ``duration_s`` or once its term has ended."""
@@ -90,7 +95,7 @@
         try:
             while True:
                 with contextlib.suppress(ExchangeError, CodecError):
-                    reply = await self._request(connection)
+                    reply = await self._request(connection, encode_heartbeat(self._host))
                     self._learn(reply, keep_peers=True)
                 await anyio.sleep(HEARTBEAT_INTERVAL_S)
         finally:
@@ -119,8 +124,11 @@
     async def _exchange(
         self, connection: Connection, holder: Holder, *, keep_peers: bool = False
     ) -> "HeartbeatReply | _FailedHeartbeat":
+        leader = holder.incarnation
+        withdrawn = self._contacts.list_withdrawn(leader)
+        stamp = self._contacts.find_stamp(leader)
         try:
-            reply = await self._request(connection)
+            reply = await self._request(connection, encode_heartbeat(self._host, stamp, withdrawn))
         except ExchangeError as error:
             return _FailedHeartbeat(str(error), error.refused)
         except CodecError as error:
@@ -128,10 +136,11 @@
         self._learn(reply, keep_peers=keep_peers)
         if reply.sender.holder != holder:
             return _FailedHeartbeat("the host has restarted", refused=True)
+        self._contacts.record_reply(leader, reply.stamp, withdrawn)
         return reply
 
-    async def _request(self, connection: Connection) -> HeartbeatReply:
-        response = await connection.exchange(self._heartbeat, HEARTBEAT_TIMEOUT_S)
+    async def _request(self, connection: Connection, heartbeat: Request) -> HeartbeatReply:
+        response = await connection.exchange(heartbeat, HEARTBEAT_TIMEOUT_S)
         return decode_heartbeat_reply(response)
 
     def _learn(self, reply: HeartbeatReply, *, keep_peers: bool) -> None:
--- a/packages/entry/src/fireflybridge_entry/_peer_service.py
+++ b/packages/entry/src/fireflybridge_entry/_peer_service.py
@@ -10,6 +10,7 @@
     SUBMIT_PATH,
     TERMS_PATH,
     CodecError,
+    Heartbeat,
     HeartbeatReply,
     Peer,
     Submission,
@@ -21,8 +22,9 @@
 )
 from fireflybridge_entry._job_scheduler import JobScheduler
 from fireflybridge_entry._leader_monitor import PEER_TIMEOUT_S
+from fireflybridge_entry._sender_leases import Sender, SenderLeases
 from fireflybridge_http import Request, Response
-from fireflybridge_jobs import Answer, Moved, TimedOut
+from fireflybridge_jobs import Answer, JobSender, Moved, TimedOut
 from fireflybridge_leadership import Leadership
 from fireflybridge_pauses import PauseMonitor, WaitingClock
 from fireflybridge_placement import CrashHistory
@@ -32,26 +34,27 @@
 
 @dataclass(frozen=True, slots=True)
 class _ReceivedHeartbeat:
-    """Hold a sender of heartbeats and the time on the service's clock when its newest one arrived."""
+    """Hold a sender of heartbeats and the time on the service's clock when it was heard from."""
 
     sender: Peer
     received_s: float
 
 
 @dataclass(frozen=True, slots=True)
-class _Sender:
-    """Identify the process that has submitted a job; hosts of earlier releases name no incarnation."""
+class _Wait:
+    """A submission whose sender waits for the answer, and the scope that ends the wait."""
 
-    host: str
-    incarnation: str
+    number: int
+    scope: anyio.CancelScope
 
 
 class PeerService:
     """Handle the requests of other hosts.
 
-    The jobs of a host whose heartbeats have stopped are cancelled: it can't receive their answers,
-    and their callers may submit them to another host. It may have been paused, so a job that it sends
-    is only taken once its heartbeats have come again.
+    The jobs of a host whose heartbeats have stopped, or that gets no replies to them, are cancelled:
+    it can't receive their answers, and their callers may submit them to another host. It may have
+    been paused, so a job that it sends is only taken once its heartbeats have come again. A job that
+    its sender has withdrawn, or has sent too long ago to be known to wait, isn't taken.
     """
 
     def __init__(
@@ -70,7 +73,8 @@
         self._heartbeats: dict[str, _ReceivedHeartbeat] = {}
         self._silent: set[str] = set()
         """Hosts whose heartbeats have stopped."""
-        self._cancel_scopes: dict[_Sender, set[anyio.CancelScope]] = {}
+        self._leases = SenderLeases(host.holder.incarnation)
+        self._waits: dict[Sender, set[_Wait]] = {}
         self._clock = WaitingClock()
 
     async def handle(self, request: Request) -> Response:
@@ -102,10 +106,18 @@
 
     def _cancel_jobs(self, host: str, current: str = "") -> None:
         """Cancel the jobs of a host's processes, but for those of its current one, if it has one."""
-        for sender, scopes in self._cancel_scopes.items():
+        self._leases.forget(host, current)
+        for sender, waits in self._waits.items():
             if sender.host == host and not (current and sender.incarnation == current):
-                for scope in scopes:
-                    scope.cancel()
+                for wait in waits:
+                    wait.scope.cancel()
+
+    def _end_withdrawn(self, sender: Sender, submissions: Collection[int]) -> None:
+        """End the waits of submissions that a sender has withdrawn, and take none of them later."""
+        self._leases.withdraw(sender, submissions)
+        for wait in self._waits.get(sender, ()):
+            if wait.number in submissions:
+                wait.scope.cancel()
 
     def find_strongest(self, domains: Collection[str]) -> Peer | None:
         """Return the strongest host of failure domains that sends heartbeats and isn't draining."""
@@ -117,16 +129,11 @@
 
     def _handle_heartbeat(self, request: Request) -> Response:
         try:
-            sender = decode_heartbeat(request.body)
+            heartbeat = decode_heartbeat(request.body)
         except CodecError:
             return Response(400)
-        host = sender.holder.host
-        self._silent.discard(host)
-        last = self._heartbeats.get(host)
-        if last is not None and last.sender.holder.incarnation != sender.holder.incarnation:
-            # Nobody waits for the jobs of a process that has ended.
-            self._cancel_jobs(host, sender.holder.incarnation)
-        self._heartbeats[host] = _ReceivedHeartbeat(sender, self._clock.now_s)
+        self._hear_from(heartbeat)
+        sender = heartbeat.sender
         peers = tuple(
             heartbeat.sender
             for heartbeat in self._heartbeats.values()
@@ -134,7 +141,21 @@
         )
         terms = tuple(self._leadership.terms.values())
         crashes = self._crashes.list_recent()
-        return encode_heartbeat_reply(HeartbeatReply(self._host, terms, peers, crashes))
+        stamp = self._leases.make_stamp()
+        return encode_heartbeat_reply(HeartbeatReply(self._host, terms, peers, crashes, stamp))
+
+    def _hear_from(self, heartbeat: Heartbeat) -> None:
+        """Note that a host sends heartbeats, and that it gets the replies if it returns stamps."""
+        holder = heartbeat.sender.holder
+        sender = Sender(holder.host, holder.incarnation)
+        last = self._heartbeats.get(holder.host)
+        if last is not None and last.sender.holder.incarnation != holder.incarnation:
+            # Nobody waits for the jobs of a process that has ended.
+            self._cancel_jobs(holder.host, holder.incarnation)
+        self._end_withdrawn(sender, heartbeat.withdrawn)
+        if self._leases.renew(sender, heartbeat.stamp):
+            self._silent.discard(holder.host)
+            self._heartbeats[holder.host] = _ReceivedHeartbeat(heartbeat.sender, self._clock.now_s)
 
     def _handle_terms(self, request: Request) -> Response:
         try:
@@ -143,11 +164,14 @@
             return Response(400)
         return Response(200)
 
-    def _may_take(self, submission: Submission, request: Request) -> bool:
+    def _may_take(self, sender: Sender, submission: Submission, request: Request) -> bool:
         """Return whether this host leads and the sender still waits for the answer."""
+        stamp = submission.stamp
         return (
             bool(self._leadership.find_terms_held_by(self._host.holder))
             and submission.sender not in self._silent
+            and (stamp is None or self._leases.is_valid(stamp))
+            and not self._leases.is_withdrawn(sender, submission.number)
             and self._pauses.is_current(request.sent_after_s)
         )
 
@@ -156,19 +180,40 @@
             submission = decode_submission(request.body)
         except CodecError:
             return Response(400)
-        if not self._may_take(submission, request):
+        sender = Sender(submission.sender, submission.incarnation)
+        if not self._may_take(sender, submission, request):
             return encode_answer(Moved(submission.earlier))
-        answer: Answer = TimedOut("the entry host fell silent")
-        sender = _Sender(submission.sender, submission.incarnation)
-        scopes = self._cancel_scopes.setdefault(sender, set())
+        if submission.stamp is not None:
+            self._leases.renew(sender, submission.stamp)
+        return encode_answer(await self._wait_for_answer(sender, submission))
+
+    async def _wait_for_answer(self, sender: Sender, submission: Submission) -> Answer:
+        """Return the answer to a job, unless its sender leaves before."""
+        answer: Answer = TimedOut("the entry host left")
+        waits = self._waits.setdefault(sender, set())
         with anyio.CancelScope() as scope:
-            scopes.add(scope)
+            wait = _Wait(submission.number, scope)
+            waits.add(wait)
             try:
                 answer = await self._scheduler.submit(
-                    submission.job, submission.age_ms / 1000, submission.earlier
+                    submission.job,
+                    submission.age_ms / 1000,
+                    submission.earlier,
+                    self._describe_sender(sender, submission, scope),
                 )
             finally:
-                scopes.discard(scope)
-                if not scopes:
-                    self._cancel_scopes.pop(sender, None)
-        return encode_answer(answer)
+                waits.discard(wait)
+                if not waits:
+                    self._waits.pop(sender, None)
+        return answer
+
+    def _describe_sender(
+        self, sender: Sender, submission: Submission, scope: anyio.CancelScope
+    ) -> JobSender:
+        stamp = submission.stamp
+        return JobSender(
+            sender.host,
+            submission.number,
+            None if stamp is None else self._leases.compute_age(stamp) * 1000,
+            lambda: not scope.cancel_called and self._leases.holds(sender),
+        )
--- a/packages/entry/src/fireflybridge_entry/_submission.py
+++ b/packages/entry/src/fireflybridge_entry/_submission.py
@@ -3,11 +3,13 @@
 import time
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
+from itertools import count
 
 import anyio
 
 from fireflybridge_entry._codec import CodecError, Submission, decode_answer, encode_submission
 from fireflybridge_entry._job_scheduler import JobScheduler
+from fireflybridge_entry._leader_contacts import LeaderContacts
 from fireflybridge_http import ConnectionPool, ExchangeError
 from fireflybridge_jobs import (
     Answer,
@@ -55,17 +57,28 @@
 
     A job that may have reached a lost leader is resubmitted with what is known of its earlier runs,
     so that the next leader adopts them instead of starting the tasks a second time.
+
+    A submission carries the leader's newest stamp, and waits for a heartbeat's reply if that is old.
+    Once this host waits no longer for its answer, heartbeats tell the leader.
     """
 
     def __init__(
-        self, host: str, scheduler: JobScheduler, pauses: PauseMonitor, incarnation: str = ""
+        self,
+        host: str,
+        scheduler: JobScheduler,
+        pauses: PauseMonitor,
+        incarnation: str = "",
+        contacts: LeaderContacts | None = None,
     ) -> None:
+        """Submit without stamps, and regardless of replies, if there are no ``contacts``."""
         self._host = host
         self._incarnation = incarnation
         self._scheduler = scheduler
         self._pauses = pauses
         self._leader: Leader = None
-        self._changed = Notifier()
+        self._contacts = contacts
+        self._changed = Notifier() if contacts is None else contacts.changed
+        self._numbers = count(1)
         self._pools: dict[str, ConnectionPool] = {}
         self._exchanges: dict[anyio.CancelScope, RemoteLeader] = {}
 
@@ -122,7 +135,7 @@
         )
         earlier: EarlierRuns | None = None
         while time.monotonic() < deadline_s:
-            leader = await self._wait_for_leader(min(deadline_s, time.monotonic() + leader_wait_s))
+            leader = await self._wait_for_leader(leader_wait_s, deadline_s)
             if not self._pauses.is_current(sent_after_s):
                 return _give_up(earlier, RefusalReason.PAUSED, "this host was paused")
             match leader:
@@ -135,10 +148,7 @@
                         return answer
                     earlier = answer.earlier
                 case RemoteLeader():
-                    age_s = time.monotonic() - received_s
-                    submission = Submission(
-                        self._host, job, age_s * 1000, earlier, self._incarnation
-                    )
+                    submission = self._make_submission(leader, job, received_s, earlier)
                     reply = await self._exchange(leader, submission, deadline_s)
                     match reply:
                         case Moved(earlier=earlier):
@@ -150,10 +160,38 @@
             await self._wait_for_change(leader)
         return _give_up(earlier, RefusalReason.NO_LEADER, "no leader took the job in time")
 
-    async def _wait_for_leader(self, deadline_s: float) -> Leader:
-        while self._leader is None and time.monotonic() < deadline_s:
-            await self._changed.wait(deadline_s - time.monotonic())
-        return self._leader
+    def _make_submission(
+        self, leader: RemoteLeader, job: Job, received_s: float, earlier: EarlierRuns | None
+    ) -> Submission:
+        age_ms = (time.monotonic() - received_s) * 1000
+        stamp = None if self._contacts is None else self._contacts.find_stamp(leader.incarnation)
+        number = next(self._numbers)
+        return Submission(self._host, job, age_ms, earlier, self._incarnation, number, stamp)
+
+    async def _wait_for_leader(self, wait_s: float, deadline_s: float) -> Leader:
+        """Return a leader that replies, or None if there is none for ``wait_s``.
+
+        A leader that hasn't replied lately is either about to, or about to be lost.
+        """
+        lost_s = time.monotonic()
+        while True:
+            leader = self._leader
+            match leader:
+                case None:
+                    limit_s = min(lost_s + wait_s, deadline_s)
+                case RemoteLeader() if not self._is_in_contact(leader):
+                    limit_s = deadline_s
+                case _:
+                    return leader
+            left_s = limit_s - time.monotonic()
+            if left_s <= 0:
+                return None
+            await self._changed.wait(left_s)
+            if leader is not None:
+                lost_s = time.monotonic()
+
+    def _is_in_contact(self, leader: RemoteLeader) -> bool:
+        return self._contacts is None or self._contacts.is_fresh(leader.incarnation)
 
     async def _wait_for_change(self, leader: Leader) -> None:
         """Wait briefly for the next leader, to avoid submitting to a lost one in a tight loop."""
@@ -165,19 +203,24 @@
     ) -> "Answer | _Unsent":
         pool = self._get_pool(leader.address)
         timeout_s = max(deadline_s - time.monotonic(), 0) + ANSWER_MARGIN_S
+        may_wait = True  # at the leader
         with anyio.CancelScope() as scope:
             self._exchanges[scope] = leader
             try:
                 response = await pool.exchange(encode_submission(submission), timeout_s)
+                may_wait = False
                 return decode_answer(response)
             except ExchangeError as error:
                 if not error.may_have_run:
+                    may_wait = False
                     return _Unsent()
             except CodecError:
                 # A leader of another version may have started the job nevertheless.
                 pass
             finally:
                 leader = self._exchanges.pop(scope)
+                if may_wait and self._contacts is not None:
+                    self._contacts.withdraw(leader.incarnation, submission.number)
         return Moved(EarlierRuns(domains=leader.domains).merge(submission.earlier))
 
     def _get_pool(self, address: str) -> ConnectionPool:
--- a/packages/host/src/fireflybridge_host/_host.py
+++ b/packages/host/src/fireflybridge_host/_host.py
@@ -14,6 +14,7 @@
     Configuration,
     ConfigurationSource,
     JobSubmitter,
+    LeaderContacts,
     LeaderMonitor,
     Limits,
     Peer,
@@ -96,13 +97,14 @@
         self._directory = UpstreamDirectory(
             ports.directory, self._scheduler.set_upstreams, self._event_logger.record_store_error
         )
+        contacts = LeaderContacts()
         self._submitter = JobSubmitter(
-            settings.name, self._scheduler, self._pauses, holder.incarnation
+            settings.name, self._scheduler, self._pauses, holder.incarnation, contacts
         )
         self._peer_service = PeerService(
             peer, self._scheduler, self._leadership, self._pauses, crashes
         )
-        monitor = LeaderMonitor(self._leadership, peer, crashes)
+        monitor = LeaderMonitor(self._leadership, peer, crashes, contacts)
         former_leaders = FormerLeaders(holder, self._leadership, monitor)
         self._election = LeaderElection(
             settings,
