Let a submission's deadline end that submission only

A leader answered every submission of a job, and stopped its runs, at the deadline of the first one.

--- a/packages/execution/src/fireflybridge_execution/_active_job.py
+++ b/packages/execution/src/fireflybridge_execution/_active_job.py
@@ -20,6 +20,11 @@
     number: int
 
 
+def compute_deadline(job: Job, received_s: float) -> float:
+    """Return when a submission of a job that was received at a monotonic time has to be answered."""
+    return received_s + min(job.wait_ms, job.policy.timeout_ms) / 1000
+
+
 class ActiveJob:
     """Track which tasks of a job are waiting, running and done until the job is answered."""
 
@@ -31,7 +36,8 @@
         """When its newest submission was read, whose sender waits for the answer."""
         self.critical_path_ms = compute_critical_path_ms(job)
         """Estimated work of the longest chain of dependent tasks, before what was learned."""
-        self.deadline_s = received_s + min(job.wait_ms, job.policy.timeout_ms) / 1000
+        self.deadline_s = compute_deadline(job, received_s)
+        """The latest one of its submissions."""
         self.earlier: EarlierRuns | None = None
         self.accepts_any_speed = False
         self.waiter_count = 0
--- a/packages/execution/src/fireflybridge_execution/_scheduler.py
+++ b/packages/execution/src/fireflybridge_execution/_scheduler.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from fireflybridge_execution._active_job import ActiveJob, PlacedRun
+from fireflybridge_execution._active_job import ActiveJob, PlacedRun, compute_deadline
 from fireflybridge_execution._commands import CommandConnector, RejectionReason
 from fireflybridge_execution._directory import DirectoryView
 from fireflybridge_execution._earlier_runs import EarlierRunsTracker
@@ -163,10 +163,12 @@
             active = self._receive(job, age_s, earlier)
         elif earlier is not None:
             self._learn_earlier_runs(active, earlier)
+        deadline_s = compute_deadline(job, now_s - age_s)
+        active.deadline_s = max(active.deadline_s, deadline_s)
         active.requested_s = now_s
         active.waiter_count += 1
         try:
-            return await self._wait_for_answer(active)
+            return await self._wait_for_answer(active, deadline_s)
         finally:
             active.waiter_count -= 1
             if active.waiter_count == 0:
@@ -198,7 +200,8 @@
         self._place()
         return active
 
-    async def _wait_for_answer(self, active: ActiveJob) -> Answer:
+    async def _wait_for_answer(self, active: ActiveJob, deadline_s: float) -> Answer:
+        """Return the answer to a job, or to one of its submissions at this one's deadline."""
         if not active.may_have_run:
             refusal_s = self._compute_refusal_time(active)
             with anyio.move_on_after(max(refusal_s - time.monotonic(), 0)):
@@ -209,8 +212,11 @@
                 self._place()
             if not active.placed_or_answered.is_set():
                 return self._refuse(active)
-        with anyio.move_on_after(max(active.deadline_s - time.monotonic(), 0)):
+        with anyio.move_on_after(max(deadline_s - time.monotonic(), 0)):
             await active.answered.wait()
+        if active.answer is None and active.waiter_count > 1:
+            # The runs go on for the other submissions, so the job isn't answered.
+            return TimedOut("deadline reached")
         if active.answer is None and not active.may_have_run and not active.runs:
             return self._refuse(active)
         return active.set_answer(TimedOut("deadline reached"))
