--- a/packages/entry/src/fireflybridge_entry/__init__.py
+++ b/packages/entry/src/fireflybridge_entry/__init__.py
@@ -9,6 +9,7 @@
     RouteTable,
 )
 from fireflybridge_entry._job_scheduler import JobScheduler
+from fireflybridge_entry._leader_contacts import LeaderContacts
 from fireflybridge_entry._leader_links import LeaderLinks
 from fireflybridge_entry._leader_monitor import LeaderLoss, LeaderMonitor
 from fireflybridge_entry._peer_service import PeerService
@@ -20,6 +21,7 @@
     "ConfigurationSource",
     "JobScheduler",
     "JobSubmitter",
+    "LeaderContacts",
     "LeaderLinks",
     "LeaderLoss",
     "LeaderMonitor",
--- a/packages/execution/src/fireflybridge_execution/_scheduler.py
+++ b/packages/execution/src/fireflybridge_execution/_scheduler.py
@@ -14,7 +14,7 @@
     MayRun,
     NotHeld,
 )
-from fireflybridge_execution._active_job import ActiveJob, PlacedRun
+from fireflybridge_execution._active_job import ActiveJob, PlacedRun, compute_deadline
 from fireflybridge_execution._commands import CommandConnector, RejectionReason
 from fireflybridge_execution._directory import DirectoryView
 from fireflybridge_execution._earlier_runs import EarlierRunsTracker
@@ -40,12 +40,14 @@
 from fireflybridge_execution._session_manager import SessionManager
 from fireflybridge_execution._start_gate import StartGate
 from fireflybridge_jobs import (
+    LOCAL_SENDER,
     Answer,
     Crash,
     EarlierRuns,
     EndedRun,
     Failed,
     Job,
+    JobSender,
     Moved,
     NotRun,
     RefusalReason,
@@ -148,14 +150,28 @@
         self._placer.estimator.retain(view.upstreams.keys())
         self._place()
 
-    async def submit(self, job: Job, age_s: float, earlier: EarlierRuns | None) -> Answer:
+    async def submit(
+        self,
+        job: Job,
+        age_s: float,
+        earlier: EarlierRuns | None,
+        sender: JobSender = LOCAL_SENDER,
+    ) -> Answer:
         """Return the answer to a job that its entry host received ``age_s`` ago.
 
         ``earlier`` says where runs that another leader started may be alive. If every call for a
         job is cancelled, its runs are stopped. A second submission of the same job shares the
         answer of the first. A submission that may have waited while this host was paused is answered
-        ``Moved``, so that the entry host sends it again if its caller still waits.
+        ``Moved``, so that the entry host sends it again if its caller still waits. Nothing starts
+        while none of the job's senders is known to wait.
         """
+        with self._gate.senders.add(job.id, sender):
+            return await self._join(job, age_s, earlier, sender)
+
+    async def _join(
+        self, job: Job, age_s: float, earlier: EarlierRuns | None, sender: JobSender
+    ) -> Answer:
+        """Wait for the answer to a job, which this submission or an earlier one has begun."""
         now_s = time.monotonic()
         if not self._gate.holds_request(now_s):
             return Moved(self._earlier_runs.add_running(job.id, earlier))
@@ -164,10 +180,12 @@
             active = self._receive(job, age_s, earlier)
         elif earlier is not None:
             self._learn_earlier_runs(active, earlier)
+        deadline_s = compute_deadline(job, now_s - age_s)
+        active.deadline_s = max(active.deadline_s, deadline_s)
         active.requested_s = now_s
         active.waiter_count += 1
         try:
-            return await self._wait_for_answer(active)
+            return await self._wait_for_answer(active, deadline_s)
         finally:
             active.waiter_count -= 1
             if active.waiter_count == 0:
@@ -236,7 +254,8 @@
         self._place()
         return active
 
-    async def _wait_for_answer(self, active: ActiveJob) -> Answer:
+    async def _wait_for_answer(self, active: ActiveJob, deadline_s: float) -> Answer:
+        """Return the answer to a job, or to one of its submissions at this one's deadline."""
         if not active.may_have_run:
             refusal_s = self._compute_refusal_time(active)
             with anyio.move_on_after(max(refusal_s - time.monotonic(), 0)):
@@ -248,8 +267,11 @@
                 self._place()
             if not active.placed_or_answered.is_set() and not active.may_have_run:
                 return self._refuse(active)
-        with anyio.move_on_after(max(active.deadline_s - time.monotonic(), 0)):
+        with anyio.move_on_after(max(deadline_s - time.monotonic(), 0)):
             await active.answered.wait()
+        if active.answer is None and active.waiter_count > 1:
+            # The runs go on for the other submissions, so the job isn't answered.
+            return TimedOut("deadline reached")
         if active.answer is None and not active.may_have_run and not active.runs:
             return self._refuse(active)
         return active.set_answer(TimedOut("deadline reached"))
--- a/packages/execution/src/fireflybridge_execution/_start_gate.py
+++ b/packages/execution/src/fireflybridge_execution/_start_gate.py
@@ -6,13 +6,14 @@
 from fireflybridge_clearances import JobClearances
 from fireflybridge_execution._directory import DirectoryView
 from fireflybridge_execution._unknown_runs import UnknownRuns
+from fireflybridge_execution._waiting_senders import WaitingSenders
 from fireflybridge_pauses import PauseMonitor
 
 
 class StartGate:
     """Decide whether what a start rests on holds.
 
-    That is the request, the clearance of its job, and the upstreams' entries and runs.
+    That is the senders and the clearance of its job, and the upstreams' entries and runs.
     """
 
     def __init__(self, pauses: PauseMonitor, clearances: JobClearances) -> None:
@@ -22,6 +23,7 @@
         self.term_began_s = -inf
         """When the newest of this host's terms began, on the monotonic clock."""
         self.unknown_runs = UnknownRuns()
+        self.senders = WaitingSenders()
         self._pauses = pauses
 
     def holds_request(self, requested_s: float) -> bool:
@@ -29,10 +31,11 @@
         return self._pauses.is_current(requested_s)
 
     def admits(self, job: str, requested_s: float) -> bool:
-        """Return whether a run of a job requested at a monotonic time may be started now."""
+        """Return whether a run of a job that was requested at a monotonic time may start now."""
         now_s = time.monotonic()
         return (
             self.holds_request(requested_s)
+            and self.senders.still_wait(job)
             and self.view.allows_starts(now_s)
             and self.knows_runs(now_s)
             and self.clearances.is_cleared(job)
