Test that a job starts for the second of two callers of the leader's own host

Senders were kept in a set, and all callers of the leader's own host share one value, so the first to leave counted for all. The test fails with the set.

--- a/features/second_runs.feature
+++ b/features/second_runs.feature
@@ -76,6 +76,12 @@
     When a job is sent to the leaders of both failure domains
     Then no two runs of a task were alive at one time
 
+  Scenario: A job starts for the second of two callers of the leader's own host
+    # Guards against a job that waits in vain, since the caller who left counts for both.
+    Given two leaders of 2 upstreams that share their runs
+    When the first of two callers of a waiting job leaves
+    Then the job is started
+
   Scenario: The jobs of an entry host that has started anew are cancelled
     # Guards against runs that go on since the heartbeats of a later process are taken for the sender's.
     Given a leader that runs a job of another host which sends heartbeats
--- a/features/steps/second_runs.py
+++ b/features/steps/second_runs.py
@@ -293,6 +293,27 @@
     run_linked(context, play)
 
 
+@when("the first of two callers of a waiting job leaves")
+def leave_before_start(context: Context) -> None:
+    async def play(context: Context, first: Leader, second: Leader, group: TaskGroup) -> None:
+        first.scheduler.lead({"z1": FIRST})
+        async with anyio.create_task_group() as caller:
+            caller.start_soon(first.submit, JOB, EarlierRuns({"u0": FIRST}))
+            await anyio.sleep(0)
+            group.start_soon(first.submit, JOB)
+            await anyio.sleep(0)
+            caller.cancel_scope.cancel()
+        first.see(context.infos, *context.infos)
+        await wait_until(lambda: any(has_run(context, name, JOB) for name in context.infos))
+
+    run_steps(context, play)
+
+
+@then("the job is started")
+def check_started(context: Context) -> None:
+    assert len(context.spans) == 1, context.spans
+
+
 @when("a leader is told that a task which it runs is done, and the job's deadline comes")
 def finish_running_task(context: Context) -> None:
     job = replace(make_job("c", 2), wait_ms=SHORT_WAIT_MS)
