--- a/features/late_submissions.feature
+++ b/features/late_submissions.feature
@@ -43,6 +43,12 @@
     When a job runs while the replies to heartbeats are held back
     Then the run ends within 1.0 s
 
+  Scenario: The run of a sender that submits jobs between all its heartbeats goes on
+    # Guards against heartbeats that bring no news, since submissions have returned their stamps before.
+    Given a leader and an entry host that follows it through a relay
+    When a job runs for 1.2 s while its entry host submits another one after each reply
+    Then that run was not stopped
+
   Scenario: A task that waits for room isn't started for a sender that may have lost the leader
     # Guards against a start between the end of the sender's lease and the end of its submission.
     Given a leader without room for the task of a job whose sender may wait no longer
--- a/features/steps/late_submissions.py
+++ b/features/steps/late_submissions.py
@@ -46,6 +46,7 @@
 MOST_WAKES = 20
 SETTLED_S = 0.5  # a job that is taken has been placed by then
 HEARTBEATS_READ_S = 0.05
+FREQUENT_S = 0.02  # several times between two heartbeats
 HELD = {
     "its replies to heartbeats are held back": {Traffic.HEARTBEAT_REPLIES},
     "its requests are held back, heartbeats read first": {Traffic.HEARTBEATS},
@@ -133,6 +134,26 @@
     play_with_hosts(context, play)
 
 
+@when("a job runs for {length_s:g} s while its entry host submits another one after each reply")
+def submit_often(context: Context, length_s: float) -> None:
+    async def play(leader: LeadingHost, entry: EntryHost, relay: Relay, group: TaskGroup) -> None:
+        group.start_soon(entry.submit, JOB)
+        await wait_until(lambda: leader.upstream.alive)
+        first = leader.upstream.alive[0]
+        end_s = time.monotonic() + length_s
+        while time.monotonic() < end_s:
+            group.start_soon(entry.submit, make_job("b", 1))
+            await anyio.sleep(FREQUENT_S)
+        context.goes_on = first in leader.upstream.alive
+
+    play_with_hosts(context, play)
+
+
+@then("that run was not stopped")
+def check_goes_on(context: Context) -> None:
+    assert context.goes_on
+
+
 @when("the leader reads a job after its deadline of {wait_s:g} s")
 def read_after_deadline(context: Context, wait_s: float) -> None:
     async def play(_leader: LeadingHost, entry: EntryHost, relay: Relay, group: TaskGroup) -> None:
--- a/packages/entry/src/fireflybridge_entry/_peer_service.py
+++ b/packages/entry/src/fireflybridge_entry/_peer_service.py
@@ -1,7 +1,7 @@
 """Requests of other hosts: heartbeats, and submissions of jobs while this host leads."""
 
 from collections.abc import Collection
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import anyio
 
@@ -165,6 +165,12 @@
             self._silent.discard(holder.host)
             self._heartbeats[holder.host] = _ReceivedHeartbeat(heartbeat.sender, self._clock.now_s)
 
+    def _note_contact(self, sender: Sender) -> None:
+        """Note that a host, whose heartbeats are known, is heard from by another message."""
+        last = self._heartbeats.get(sender.host)
+        if last is not None and last.sender.holder.incarnation == sender.incarnation:
+            self._heartbeats[sender.host] = replace(last, received_s=self._clock.now_s)
+
     def _handle_terms(self, request: Request) -> Response:
         try:
             self._leadership.add_terms(decode_terms(request.body))
@@ -202,8 +208,8 @@
         sender = Sender(submission.sender, submission.incarnation)
         if not self._may_take(sender, submission, request):
             return encode_answer(Moved(submission.earlier))
-        if submission.stamp is not None:
-            self._leases.renew(sender, submission.stamp)
+        if submission.stamp is not None and self._leases.renew(sender, submission.stamp):
+            self._note_contact(sender)
         return encode_answer(await self._wait_for_answer(sender, submission))
 
     async def _wait_for_answer(self, sender: Sender, submission: Submission) -> Answer:
