--- a/features/support/entry_pair.py
+++ b/features/support/entry_pair.py
@@ -80,8 +80,8 @@
         self._submitter.set_leader(None)
 
     async def submit(self, job: Job) -> None:
-        """Submit a caller's job, and keep its answer."""
-        with self.caller:
+        """Submit a caller's job, and keep its answer; ``caller`` is the newest one's."""
+        with anyio.CancelScope() as self.caller:
             self.answers.append(await self._submitter.submit(job, 0.0))
 
 
