Tell in the logs which submissions of a job each leader read, and where an entry host sent it

7101 names the entry host, its submission number and the age of the leader's stamp, the new 7110 the same for further submissions of the job, 7104 the submissions in the order in which they ended, and 7103 the leaders to which the job was sent.

--- a/features/late_submissions.feature
+++ b/features/late_submissions.feature
@@ -43,6 +43,13 @@
     When a job runs while the replies to heartbeats are held back
     Then the run ends within 1.0 s
 
+  Scenario: The logs tell which submission of a job a leader read, how old it was and when it ended
+    # Guards against incidents in which nobody can tell which submission a leader has started.
+    Given a leader and an entry host that follows it through a relay
+    When an entry host sends a job twice, the second time 0.2 s before the leader reads it
+    Then lines 7101, 7110 and 7104 of the leader and 7103 of the entry host name both submissions
+    And the second one's stamp was at least 200 ms old
+
   Scenario: A task that waits for room isn't started for a sender that may have lost the leader
     # Guards against a start between the end of the sender's lease and the end of its submission.
     Given a leader without room for the task of a job whose sender may wait no longer
@@ -82,6 +89,23 @@
     When a sender returns a stamp, the same one again and a newer one
     Then only the first and the last of them are news of it
 
+  Scenario Outline: A sender's job goes on only while its heartbeats return newer stamps
+    # Guards against jobs of a sender whose heartbeats arrive and that has lost the leader.
+    Given a leader that runs a job of another host whose heartbeats return its stamps
+    When that host sends heartbeats for 1.0 s that return <stamps>
+    Then its job <goes on>
+
+    Examples:
+      | stamps           | goes on      |
+      | the newest stamp | goes on      |
+      | the same stamp   | is cancelled |
+
+  Scenario: A sender isn't known to wait between the end of its lease and its next stamp
+    # Guards against a start for a sender that may have lost the leader a moment ago.
+    Given a leader that runs a job of another host whose heartbeats return its stamps
+    When that host is silent for 0.5 s and returns a newer stamp then
+    Then nothing may start for it until it returns a stamp from after its silence
+
   Scenario: A heartbeat with a stamp is read by earlier releases, and theirs by this one
     # Guards against hosts that lose each other while a new release is rolled out.
     When a heartbeat is encoded with a stamp and withdrawn submissions
--- a/features/steps/late_submissions.py
+++ b/features/steps/late_submissions.py
@@ -10,7 +10,8 @@
 from anyio.abc import TaskGroup
 from behave import given, then, when
 from behave.runner import Context
-from support.entry_pair import EntryHost, LeadingHost, run_hosts
+from structlog.testing import capture_logs
+from support.entry_pair import DOMAIN, FENCE, EntryHost, LeadingHost, make_leadership, run_hosts
 from support.leading import FENCES, run_scheduler
 from support.relay import Relay, Traffic
 from support.upstreams import (
@@ -21,19 +22,31 @@
     wait_until,
 )
 
-from fireflybridge_entry import JobSubmitter, LeaderContacts, Peer, RemoteLeader
+from fireflybridge_entry import JobSubmitter, LeaderContacts, Peer, PeerService, RemoteLeader
 from fireflybridge_entry._codec import (
     Heartbeat,
     LeaderStamp,
+    Submission,
     decode_heartbeat,
+    decode_heartbeat_reply,
     decode_submission,
     encode_answer,
     encode_heartbeat,
+    encode_submission,
 )
 from fireflybridge_entry._sender_leases import Sender, SenderLeases
-from fireflybridge_execution import Accepted, Stop
+from fireflybridge_execution import Accepted, JobEnded, Stop
+from fireflybridge_host._event_logger import EventLogger
 from fireflybridge_http import ConnectionPool, Request, Response
-from fireflybridge_jobs import Answer, JobSender, Succeeded, TimedOut
+from fireflybridge_jobs import (
+    LOCAL_SENDER,
+    Answer,
+    EarlierRuns,
+    Job,
+    JobSender,
+    Succeeded,
+    TimedOut,
+)
 from fireflybridge_leadership import Holder
 from fireflybridge_pauses import PauseMonitor
 
@@ -41,6 +54,7 @@
 PATIENT_JOB = replace(JOB, policy=replace(JOB.policy, target_latency_ms=JOB.wait_ms))
 OTHER_JOB = make_job("b", 2)  # takes all room of an upstream
 SHORT_WAIT_S = 0.4
+HEARTBEAT_S = 0.15
 SENDER = Sender("h2", "1")
 PEER = Peer(Holder("h2", "1", "127.0.0.1:2"), "z1", 1.0, draining=True)
 MOST_WAKES = 20
@@ -124,7 +138,7 @@
         relay.held.add(Traffic.SUBMISSIONS)
         group.start_soon(entry.submit, JOB)
         await anyio.sleep(HEARTBEATS_READ_S)
-        entry.caller.cancel()
+        entry.drop_callers()
         beats = relay.passed[Traffic.HEARTBEATS]
         await wait_until(lambda: relay.passed[Traffic.HEARTBEATS] > beats)
         await anyio.sleep(HEARTBEATS_READ_S)
@@ -154,7 +168,7 @@
 def leave_unseen(context: Context) -> None:
     async def play(leader: LeadingHost, entry: EntryHost, _relay: Relay, group: TaskGroup) -> None:
         await begin_run(leader, entry, group)
-        entry.caller.cancel()
+        entry.drop_callers()
         await measure_end(context, leader)
 
     play_with_hosts(context, play)
@@ -182,6 +196,42 @@
     assert context.ended_after_s < limit_s, context.ended_after_s
 
 
+@when("an entry host sends a job twice, the second time {delay_s:g} s before the leader reads it")
+def send_twice(context: Context, delay_s: float) -> None:
+    async def play(leader: LeadingHost, entry: EntryHost, relay: Relay, group: TaskGroup) -> None:
+        await begin_run(leader, entry, group)
+        relay.held.add(Traffic.SUBMISSIONS)
+        group.start_soon(entry.submit, JOB)
+        await anyio.sleep(delay_s)
+        await let_submission_go(relay)
+        entry.drop_callers()
+        await wait_until(lambda: isinstance(leader.events[-1], JobEnded))
+        context.events, context.sent = leader.events, entry.sent
+
+    play_with_hosts(context, play)
+
+
+@then("lines 7101, 7110 and 7104 of the leader and 7103 of the entry host name both submissions")
+def check_lines(context: Context) -> None:
+    with capture_logs() as lines:
+        logger = EventLogger()
+        for event in context.events:
+            logger.record_execution(event)
+        logger.record_request(JOB.id, "orders", Succeeded(), 1.0, context.sent)
+    by_id = {line["event_id"]: line for line in lines}
+    context.joined = by_id[7110]
+    assert (by_id[7101]["sender"], by_id[7101]["submission"]) == ("h2", 1), by_id
+    assert (by_id[7110]["sender"], by_id[7110]["submission"]) == ("h2", 2), by_id
+    assert sorted(by_id[7104]["senders"]) == [["h2", 1], ["h2", 2]], by_id
+    numbers = [[fence, number] for _, fence, number in by_id[7103]["leaders"]]
+    assert numbers == [[FENCE, 1], [FENCE, 2]], by_id
+
+
+@then("the second one's stamp was at least {age_ms:d} ms old")
+def check_stamp_age(context: Context, age_ms: int) -> None:
+    assert context.joined["stamp_age_ms"] >= age_ms, context.joined
+
+
 # Decisions of a leader, without connections
 
 
@@ -323,6 +373,110 @@
     assert decode_heartbeat(msgspec.json.encode(PEER)) == Heartbeat(PEER)
 
 
+class EndlessScheduler:
+    """A scheduler that keeps the sender of a job, which ends only by cancellation."""
+
+    def __init__(self) -> None:
+        self.sender: JobSender | None = None
+        self.cancelled = False
+
+    async def submit(
+        self, job: Job, age_s: float, earlier: EarlierRuns | None, sender: JobSender = LOCAL_SENDER
+    ) -> Answer:
+        """Wait until cancelled."""
+        self.sender = sender
+        try:
+            await anyio.sleep_forever()
+        finally:
+            self.cancelled = True
+        raise AssertionError("unreachable")
+
+
+@given("a leader that runs a job of another host whose heartbeats return its stamps")
+def given_service(context: Context) -> None:
+    holder = Holder("h1", "1", "127.0.0.1:1")
+    context.scheduler = EndlessScheduler()
+    context.service = PeerService(
+        Peer(holder, DOMAIN, 1.0), context.scheduler, make_leadership(holder), PauseMonitor()
+    )
+
+
+async def beat(context: Context, stamp: LeaderStamp | None) -> LeaderStamp:
+    """Send a heartbeat, and return the stamp in the reply."""
+    response = await context.service.handle(encode_heartbeat(PEER, stamp))
+    returned = decode_heartbeat_reply(response).stamp
+    assert returned is not None
+    return returned
+
+
+def play_with_service(
+    context: Context,
+    play: Callable[[Context, LeaderStamp], Awaitable[None]],
+    *,
+    watches_senders: bool = True,
+) -> None:
+    """Run a play that begins with the stamp under which the job was submitted."""
+
+    async def run() -> None:
+        async with anyio.create_task_group() as group:
+            if watches_senders:
+                group.start_soon(context.service.watch_senders)
+            stamp = await beat(context, None)
+            submission = Submission("h2", JOB, 0, None, "1", 1, stamp)
+            group.start_soon(context.service.handle, encode_submission(submission))
+            await wait_until(lambda: context.scheduler.sender)
+            await play(context, stamp)
+            context.cancelled = context.scheduler.cancelled
+            group.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+@when("that host sends heartbeats for {duration_s:g} s that return the {which} stamp")
+def return_each(context: Context, duration_s: float, which: str) -> None:
+    async def play(context: Context, first: LeaderStamp) -> None:
+        stamp = first
+        with anyio.move_on_after(duration_s):
+            while True:
+                newest = await beat(context, stamp)
+                stamp = newest if which == "newest" else first
+                await anyio.sleep(HEARTBEAT_S)
+
+    play_with_service(context, play)
+
+
+@then("its job goes on")
+def check_goes_on(context: Context) -> None:
+    assert not context.cancelled
+
+
+@then("its job is cancelled")
+def check_cancelled(context: Context) -> None:
+    assert context.cancelled
+
+
+@when("that host is silent for {silence_s:g} s and returns a newer stamp then")
+def lapse(context: Context, silence_s: float) -> None:
+    async def play(context: Context, first: LeaderStamp) -> None:
+        waits = context.scheduler.sender.still_waits
+        newer = await beat(context, first)
+        context.waits = [waits()]
+        await anyio.sleep(silence_s)
+        context.waits.append(waits())
+        newest = await beat(context, newer)
+        context.waits.append(waits())
+        await beat(context, newest)
+        context.waits.append(waits())
+
+    # On a busy machine the silence may be long enough to cancel the job.
+    play_with_service(context, play, watches_senders=False)
+
+
+@then("nothing may start for it until it returns a stamp from after its silence")
+def check_lapse(context: Context) -> None:
+    assert context.waits == [True, False, False, True], context.waits
+
+
 # Decisions of an entry host
 
 
--- a/features/steps/malformed.py
+++ b/features/steps/malformed.py
@@ -27,6 +27,7 @@
 from fireflybridge_entry import Configuration, Limits, Route, RouteTable
 from fireflybridge_entry._codec import (
     CodecError,
+    Heartbeat,
     HeartbeatReply,
     Peer,
     decode_answer,
@@ -146,7 +147,7 @@
     def __init__(self) -> None:
         self.jobs: list[Job] = []
 
-    async def submit(self, job: Job, sent_after_s: float) -> Answer:
+    async def submit(self, job: Job, sent_after_s: float, on_sent: object) -> Answer:
         """Keep the job and answer it."""
         self.jobs.append(job)
         return Succeeded()
@@ -342,7 +343,7 @@
 def list_holders(message: object) -> list[Holder]:
     """Return the holders named by a message of another host, to whose addresses this one connects."""
     match message:
-        case Peer(holder=holder):
+        case Heartbeat(sender=Peer(holder=holder)):
             return [holder]
         case HeartbeatReply(sender=sender, terms=terms, peers=peers):
             return [term.holder for term in terms] + [peer.holder for peer in (sender, *peers)]
@@ -366,6 +367,8 @@
 
 _term = {"domain": "z1", "holder": HOLDER, "fence": 2**30}
 _peer = {"holder": HOLDER, "failure_domain": "z1", "strength": 1.0}
+_stamp = {"incarnation": "i", "time_s": 1.5}
+_heartbeat = {**_peer, "stamp": _stamp, "withdrawn": [1, 2]}
 _settings_text = "\n".join(f"{name}={value}" for name, value in SETTINGS.items()).encode()
 _damaged_settings = strategies.builds(
     lambda at, noise: _settings_text[:at] + noise + _settings_text[at + len(noise) :],
@@ -378,6 +381,7 @@
     "sender": _peer,
     "terms": [{"domain": "z1", "holder": HOLDER, "fence": 1000}],
     "peers": [_peer],
+    "stamp": _stamp,
 }
 _report = {
     "clock_ms": 482113,
@@ -389,6 +393,8 @@
     "sender": "h1",
     "job": PEER_JOB,
     "age_ms": 1,
+    "number": 3,
+    "stamp": _stamp,
     "earlier": {
         "upstreams": ["u"],
         "domains": [],
@@ -410,7 +416,7 @@
     "configuration": (damaged_json(CONFIGURATION), check_configuration),
     "page of the store": (damaged_json(_page), check_page),
     "records of the store": (strategies.binary(max_size=60), check_records),
-    "heartbeat": (damaged_json(_peer), check_codec(decode_heartbeat)),
+    "heartbeat": (damaged_json(_heartbeat), check_codec(decode_heartbeat)),
     "terms of another host": (damaged_json([_term]), check_codec(decode_terms)),
     "heartbeat reply": (damaged_json(_reply), check_heartbeat_reply),
     "submission": (damaged_json(_submission), check_codec(decode_submission)),
--- a/features/support/entry_pair.py
+++ b/features/support/entry_pair.py
@@ -14,6 +14,7 @@
     Peer,
     PeerService,
     RemoteLeader,
+    SentSubmission,
 )
 from fireflybridge_execution import ExecutionEvent, Scheduler, TasksPlaced
 from fireflybridge_http import Server, ServerLimits
@@ -63,7 +64,8 @@
 
     def __init__(self, leader: Holder) -> None:
         self.answers: list[Answer] = []
-        self.caller = anyio.CancelScope()
+        self.sent: list[SentSubmission] = []
+        self._callers: list[anyio.CancelScope] = []
         self.has_lost_leader = False
         self._leadership = make_leadership(leader)
         self._leader = RemoteLeader(leader.address, leader.incarnation, {DOMAIN: FENCE})
@@ -79,10 +81,16 @@
         self.has_lost_leader = True
         self._submitter.set_leader(None)
 
+    def drop_callers(self) -> None:
+        """Let every caller leave."""
+        for scope in self._callers:
+            scope.cancel()
+
     async def submit(self, job: Job) -> None:
         """Submit a caller's job, and keep its answer."""
-        with self.caller:
-            self.answers.append(await self._submitter.submit(job, 0.0))
+        with anyio.CancelScope() as scope:
+            self._callers.append(scope)
+            self.answers.append(await self._submitter.submit(job, 0.0, self.sent.append))
 
 
 def make_leadership(holder: Holder) -> Leadership:
--- a/packages/entry/src/fireflybridge_entry/__init__.py
+++ b/packages/entry/src/fireflybridge_entry/__init__.py
@@ -12,7 +12,12 @@
 from fireflybridge_entry._leader_contacts import LeaderContacts
 from fireflybridge_entry._leader_monitor import LeaderLoss, LeaderMonitor
 from fireflybridge_entry._peer_service import PeerService
-from fireflybridge_entry._submission import JobSubmitter, LocalLeader, RemoteLeader
+from fireflybridge_entry._submission import (
+    JobSubmitter,
+    LocalLeader,
+    RemoteLeader,
+    SentSubmission,
+)
 
 __all__ = [
     "CodecError",
@@ -30,4 +35,5 @@
     "RemoteLeader",
     "Route",
     "RouteTable",
+    "SentSubmission",
 ]
--- a/packages/entry/src/fireflybridge_entry/_submission.py
+++ b/packages/entry/src/fireflybridge_entry/_submission.py
@@ -1,7 +1,7 @@
 """Submission of a job to the leader of the host's failure domain, repeated if it changes."""
 
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field, replace
 from itertools import count
 
@@ -52,6 +52,22 @@
 Leader = LocalLeader | RemoteLeader | None
 
 
+@dataclass(frozen=True, slots=True)
+class SentSubmission:
+    """Describe a submission of a job: the leader's address and newest fencing token, and its number.
+
+    The address is empty, and the others are 0, if this host leads.
+    """
+
+    address: str = ""
+    fence: int = 0
+    number: int = 0
+
+
+def _ignore_submission(_sent: SentSubmission) -> None:
+    """Do nothing."""
+
+
 class JobSubmitter:
     """Submit jobs to the leader, and resubmit them if the leader changes.
 
@@ -122,9 +138,16 @@
         """Return whether jobs can be submitted now."""
         return self._leader is not None
 
-    async def submit(self, job: Job, sent_after_s: float) -> Answer:
+    async def submit(
+        self,
+        job: Job,
+        sent_after_s: float,
+        on_sent: Callable[[SentSubmission], None] = _ignore_submission,
+    ) -> Answer:
         """Return the answer to a job that this host has just received.
 
+        ``on_sent`` is called before each submission to a leader.
+
         Its caller had not sent it before ``sent_after_s`` on the monotonic clock. If this host was
         paused since then, the caller may have left and sent it elsewhere, so it isn't submitted.
         """
@@ -143,12 +166,15 @@
                     break
                 case LocalLeader():
                     age_s = time.monotonic() - received_s
+                    on_sent(SentSubmission())
                     answer = await self._scheduler.submit(job, age_s, earlier)
                     if not isinstance(answer, Moved):
                         return answer
                     earlier = answer.earlier
                 case RemoteLeader():
                     submission = self._make_submission(leader, job, received_s, earlier)
+                    fence = max(leader.domains.values(), default=0)
+                    on_sent(SentSubmission(leader.address, fence, submission.number))
                     reply = await self._exchange(leader, submission, deadline_s)
                     match reply:
                         case Moved(earlier=earlier):
--- a/packages/execution/src/fireflybridge_execution/_active_job.py
+++ b/packages/execution/src/fireflybridge_execution/_active_job.py
@@ -8,7 +8,7 @@
 
 import anyio
 
-from fireflybridge_jobs import Answer, EarlierRuns, Job, Step, Succeeded, TaskId
+from fireflybridge_jobs import Answer, EarlierRuns, Job, JobSender, Step, Succeeded, TaskId
 from fireflybridge_placement import compute_critical_path_ms
 
 
@@ -41,6 +41,8 @@
         self.earlier: EarlierRuns | None = None
         self.accepts_any_speed = False
         self.waiter_count = 0
+        self.ended_senders: list[JobSender] = []
+        """Senders of the submissions that have ended, in order."""
         self.may_have_run = False
         self.waiting: deque[TaskId] = deque()
         self.runs: dict[TaskId, PlacedRun] = {}
--- a/packages/execution/src/fireflybridge_execution/_events.py
+++ b/packages/execution/src/fireflybridge_execution/_events.py
@@ -5,7 +5,7 @@
 from enum import StrEnum
 
 from fireflybridge_execution._run_registry import RunKey
-from fireflybridge_jobs import Answer, EarlierRuns, RunOutcome, TaskId
+from fireflybridge_jobs import Answer, EarlierRuns, JobSender, RunOutcome, TaskId
 from fireflybridge_placement import RunProgress
 
 
@@ -15,7 +15,7 @@
 
     ``fences`` holds the fencing tokens of this host's terms by failure domain, ``unlisted`` the
     upstreams that have not listed their runs under them. ``seen_before`` is whether this host has
-    received the job before.
+    received the job before. ``sender`` is that of this submission.
     """
 
     job: str
@@ -27,6 +27,16 @@
     fences: Mapping[str, int]
     unlisted: tuple[str, ...]
     seen_before: bool
+    sender: JobSender
+
+
+@dataclass(frozen=True, slots=True)
+class SubmissionJoined:
+    """A further submission of an unanswered job was received."""
+
+    job: str
+    sender: JobSender
+    earlier: EarlierRuns | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,7 +122,10 @@
 
 @dataclass(frozen=True, slots=True)
 class JobEnded:
-    """A job was answered; ``waited_ms`` is the time until the first placement, if there was one."""
+    """A job was answered; ``waited_ms`` is the time until the first placement, if there was one.
+
+    ``senders`` are those of all its submissions, in the order in which these ended.
+    """
 
     job: str
     route: str
@@ -120,6 +133,7 @@
     elapsed_ms: float
     waited_ms: float | None
     failed_runs: int
+    senders: tuple[JobSender, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -172,6 +186,7 @@
 
 ExecutionEvent = (
     JobReceived
+    | SubmissionJoined
     | TasksPlaced
     | RunNotCompleted
     | StoppedRunEnded
--- a/packages/execution/src/fireflybridge_execution/_reports.py
+++ b/packages/execution/src/fireflybridge_execution/_reports.py
@@ -10,10 +10,11 @@
     JobReceived,
     RunNotCompleted,
     StoppedRunEnded,
+    SubmissionJoined,
 )
 from fireflybridge_execution._recent_jobs import RecentJobs
 from fireflybridge_execution._run_registry import Run
-from fireflybridge_jobs import Answer, EarlierRuns
+from fireflybridge_jobs import Answer, EarlierRuns, JobSender
 
 
 class Reports:
@@ -31,6 +32,7 @@
         earlier: EarlierRuns | None,
         fences: Mapping[str, int],
         unlisted: tuple[str, ...],
+        sender: JobSender,
     ) -> None:
         """Report a job that was just submitted."""
         self._on_event(
@@ -44,9 +46,16 @@
                 fences,
                 unlisted,
                 self._recent_jobs.note(active.job.id),
+                sender,
             )
         )
 
+    def submission_joined(
+        self, active: ActiveJob, earlier: EarlierRuns | None, sender: JobSender
+    ) -> None:
+        """Report a further submission of a job."""
+        self._on_event(SubmissionJoined(active.job.id, sender, earlier))
+
     def job_ended(self, active: ActiveJob, answer: Answer) -> None:
         """Report the answer to a job."""
         first_placed_s = active.first_placed_s
@@ -58,6 +67,7 @@
                 (time.monotonic() - active.received_s) * 1000,
                 None if first_placed_s is None else (first_placed_s - active.received_s) * 1000,
                 active.failed_runs,
+                tuple(active.ended_senders),
             )
         )
 
--- a/packages/execution/src/fireflybridge_execution/_scheduler.py
+++ b/packages/execution/src/fireflybridge_execution/_scheduler.py
@@ -160,9 +160,11 @@
             return Moved(self._earlier_runs.add_running(job.id, earlier))
         active = self._jobs.get(job.id)
         if active is None:
-            active = self._receive(job, age_s, earlier)
-        elif earlier is not None:
-            self._learn_earlier_runs(active, earlier)
+            active = self._receive(job, age_s, earlier, sender)
+        else:
+            self._reports.submission_joined(active, earlier, sender)
+            if earlier is not None:
+                self._learn_earlier_runs(active, earlier)
         deadline_s = compute_deadline(job, now_s - age_s)
         active.deadline_s = max(active.deadline_s, deadline_s)
         active.requested_s = now_s
@@ -171,12 +173,15 @@
             return await self._wait_for_answer(active, deadline_s)
         finally:
             active.waiter_count -= 1
+            active.ended_senders.append(sender)
             if active.waiter_count == 0:
                 self._end_job(active)
 
     # Life cycle of a job
 
-    def _receive(self, job: Job, age_s: float, earlier: EarlierRuns | None) -> ActiveJob:
+    def _receive(
+        self, job: Job, age_s: float, earlier: EarlierRuns | None, sender: JobSender
+    ) -> ActiveJob:
         active = ActiveJob(job, time.monotonic() - age_s, earlier)
         self._reports.job_received(
             active,
@@ -185,6 +190,7 @@
             earlier,
             self._sessions.fences,
             self._gate.unknown_runs.upstreams,
+            sender,
         )
         self._jobs[job.id] = active
         if earlier is not None:
--- a/packages/host/src/fireflybridge_host/_event_logger.py
+++ b/packages/host/src/fireflybridge_host/_event_logger.py
@@ -7,7 +7,7 @@
 
 import structlog
 
-from fireflybridge_entry import Configuration
+from fireflybridge_entry import Configuration, SentSubmission
 from fireflybridge_execution import (
     EarlierRunAdopted,
     EarlierRunEnded,
@@ -18,6 +18,7 @@
     RunMoved,
     RunNotCompleted,
     StoppedRunEnded,
+    SubmissionJoined,
     TasksPlaced,
     UnexpectedError,
     UpstreamCrashed,
@@ -28,6 +29,7 @@
     Answer,
     EarlierRuns,
     Failed,
+    JobSender,
     Moved,
     NotRun,
     Succeeded,
@@ -90,6 +92,15 @@
                     unlisted=event.unlisted[:MAX_LISTED_UPSTREAMS],
                     unlisted_count=len(event.unlisted),
                     seen_before=event.seen_before,
+                    **_describe_sender(event.sender),
+                )
+            case SubmissionJoined():
+                self._log.info(
+                    "submission joined",
+                    event_id=7110,
+                    job=event.job,
+                    resubmitted=event.earlier is not None,
+                    **_describe_sender(event.sender),
                 )
             case TasksPlaced():
                 self._record_placements(event)
@@ -151,7 +162,14 @@
             case UnexpectedError(action=action, error=error):
                 self.record_unexpected_error(action, error)
 
-    def record_request(self, job: str, route: str, answer: Answer, elapsed_ms: float) -> None:
+    def record_request(
+        self,
+        job: str,
+        route: str,
+        answer: Answer,
+        elapsed_ms: float,
+        sent: Iterable[SentSubmission],
+    ) -> None:
         """Log and count an answer to a caller."""
         labels = _label_answer(answer)
         self.counters.answers[route, labels.name] += 1
@@ -166,6 +184,7 @@
             outcome=labels.name,
             reason=labels.reason,
             elapsed_ms=round(elapsed_ms),
+            leaders=[[entry.address, entry.fence, entry.number] for entry in sent],
         )
 
     def record_store_error(self, error: StoreError) -> None:
@@ -297,6 +316,7 @@
             elapsed_ms=round(event.elapsed_ms),
             waited_ms=None if event.waited_ms is None else round(event.waited_ms),
             failed_runs=event.failed_runs,
+            senders=[[sender.host, sender.number] for sender in event.senders],
         )
 
 
@@ -304,6 +324,16 @@
     return f"{task.occurrence}.{task.step}.{task.index}"
 
 
+def _describe_sender(sender: JobSender) -> dict[str, str | int | None]:
+    """Return the fields that name a submission and its age by this host's clock."""
+    age_ms = sender.stamp_age_ms
+    return {
+        "sender": sender.host,
+        "submission": sender.number,
+        "stamp_age_ms": None if age_ms is None else round(age_ms),
+    }
+
+
 def _describe_run(
     event: RunNotCompleted | StoppedRunEnded | EarlierRunAdopted | EarlierRunEnded | RunMoved,
 ) -> dict[str, str | int]:
--- a/packages/host/src/fireflybridge_host/_host.py
+++ b/packages/host/src/fireflybridge_host/_host.py
@@ -3,7 +3,7 @@
 import signal
 import time
 import uuid
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -20,6 +20,7 @@
     Peer,
     PeerService,
     RouteTable,
+    SentSubmission,
 )
 from fireflybridge_execution import CommandConnector, DirectorySource, Scheduler, UpstreamDirectory
 from fireflybridge_host._election import LeaderElection
@@ -49,7 +50,7 @@
         ...
 
 
-RequestRecorder = Callable[[str, str, Answer, float], None]
+RequestRecorder = Callable[[str, str, Answer, float, Iterable[SentSubmission]], None]
 FrontEndFactory = Callable[[RouteTable, JobSubmitter, RequestRecorder], FrontEnd]
 
 
