--- a/features/steps/clearances.py
+++ b/features/steps/clearances.py
@@ -205,7 +205,7 @@
     context.clearances.open(JOB.id)
     asked_s = time.monotonic()
     context.clearances.yield_job(JOB.id, other)
-    free = LeaderReport(other, {"z1": FIRST}, {JOB.id: NotHeld()})
+    free = LeaderReport(other, {"z1": FIRST}, frozenset(), {JOB.id: NotHeld()})
     context.clearances.apply_report(free, asked_s)
     assert context.clearances.find_holder(JOB.id) == other
 
--- a/features/steps/late_submissions.py
+++ b/features/steps/late_submissions.py
@@ -164,7 +164,7 @@
 
 
 @then("that run was not stopped")
-def check_goes_on(context: Context) -> None:
+def check_run_goes_on(context: Context) -> None:
     assert context.goes_on
 
 
--- a/features/steps/malformed.py
+++ b/features/steps/malformed.py
@@ -402,6 +402,7 @@
     "leader": HOLDER,
     "terms": [_term],
     "fences": {"z1": 2**30},
+    "listed": ["z1"],
     "holdings": {JOB_ID: {"kind": "failed", "reason": "a task failed"}},
 }
 _report = {
--- a/packages/clearances/src/fireflybridge_clearances/_holdings.py
+++ b/packages/clearances/src/fireflybridge_clearances/_holdings.py
@@ -34,19 +34,27 @@
 
 @dataclass(frozen=True, slots=True)
 class JobQuestion:
-    """Ask another leader about a job; ``begun`` is whether the asking one has started its tasks."""
+    """Ask another leader about a job.
+
+    ``begun`` is whether the asking one has started its tasks, ``marked`` whether an earlier leader
+    may have.
+    """
 
     job: str
     begun: bool
+    marked: bool
 
 
 @dataclass(frozen=True, slots=True)
 class LeaderReport:
     """What a leader says of jobs, under the terms that it serves.
 
-    ``fences`` holds the fencing tokens of its terms by failure domain.
+    ``fences`` holds the fencing tokens of its terms by failure domain, ``listed`` those domains in
+    which every upstream that may run a task has listed its runs under them; it is only filled in for
+    marked jobs.
     """
 
     leader: Holder
     fences: Mapping[str, int]
+    listed: frozenset[str]
     holdings: Mapping[str, Holding]
--- a/packages/entry/src/fireflybridge_entry/_job_scheduler.py
+++ b/packages/entry/src/fireflybridge_entry/_job_scheduler.py
@@ -1,6 +1,6 @@
 """Interface to the scheduler of the leader, which the execution package implements."""
 
-from collections.abc import Iterable
+from collections.abc import Collection
 from typing import Protocol
 
 from fireflybridge_clearances import JobQuestion, LeaderReport
@@ -31,7 +31,7 @@
         ...
 
     def describe_jobs(
-        self, own: Holder, asker: Holder, questions: Iterable[JobQuestion]
+        self, own: Holder, asker: Holder, questions: Collection[JobQuestion]
     ) -> LeaderReport:
         """Return what this leader knows of jobs that another one has received as well."""
         ...
--- a/packages/entry/src/fireflybridge_entry/_leader_links.py
+++ b/packages/entry/src/fireflybridge_entry/_leader_links.py
@@ -1,26 +1,23 @@
 """Questions of this leader to the other leaders about the jobs that it has received."""
 
 import time
-from contextlib import suppress
 
 import anyio
 from anyio.abc import TaskGroup
 
-from fireflybridge_clearances import JobClearances, JobQuestion
+from fireflybridge_clearances import UNREACHABLE_S, JobClearances, JobQuestion
 from fireflybridge_entry._codec import CodecError
 from fireflybridge_entry._job_scheduler import JobScheduler
 from fireflybridge_entry._question_codec import (
+    MAX_QUESTIONS,
     Question,
-    QuestionReply,
     decode_question_reply,
     encode_question,
 )
 from fireflybridge_http import Connection, ExchangeError
 from fireflybridge_leadership import Holder, Leadership
 
-QUESTION_TIMEOUT_S = 0.25
 RETRY_S = 0.05  # asks again for a job that another leader holds, or after no reply
-MAX_QUESTIONS = 1000  # of one message
 
 
 class LeaderLinks:
@@ -68,8 +65,8 @@
         try:
             with scope:
                 while True:
-                    await self._wait_for_question(leader)
                     await self._ask(connection, leader)
+                    await self._wait_for_question(leader)
         finally:
             self._clearances.note_contact(leader)
             await connection.close()
@@ -80,21 +77,31 @@
             await self._clearances.asked.wait()
 
     def _find_questions(self, leader: Holder) -> tuple[JobQuestion, ...]:
-        return self._scheduler.list_questions(leader)[:MAX_QUESTIONS]
+        return self._scheduler.list_questions(leader)[-MAX_QUESTIONS:]
 
     async def _ask(self, connection: Connection, leader: Holder) -> None:
         questions = self._find_questions(leader)
         asked_s = time.monotonic()
         terms = self._leadership.find_terms_held_by(self._holder)
         request = encode_question(Question(self._holder, terms, questions))
-        reply: QuestionReply | None = None
-        with suppress(ExchangeError, CodecError):
-            reply = decode_question_reply(await connection.exchange(request, QUESTION_TIMEOUT_S))
-        if reply is None or reply.report.leader != leader:
-            self._clearances.note_silence(leader)
+        try:
+            response = await connection.exchange(request, UNREACHABLE_S)
+            reply = decode_question_reply(response)
+        except ExchangeError as error:
+            # A leader that has ended may have replied to others until now.
+            silent_since_s = asked_s if error.timed_out else time.monotonic()
+            self._clearances.note_silence(leader, silent_since_s)
+            await anyio.sleep(RETRY_S)
+            return
+        except CodecError:
+            self._clearances.note_silence(leader, time.monotonic())
             await anyio.sleep(RETRY_S)
             return
         self._leadership.add_terms(reply.terms)
+        if reply.report.leader != leader:
+            self._clearances.note_silence(leader, time.monotonic())
+            await anyio.sleep(RETRY_S)
+            return
         self._scheduler.apply_report(reply.report, asked_s)
         if self._find_questions(leader):
             await self._clearances.asked.wait(RETRY_S)
--- a/packages/entry/src/fireflybridge_entry/_question_codec.py
+++ b/packages/entry/src/fireflybridge_entry/_question_codec.py
@@ -19,6 +19,7 @@
 from fireflybridge_leadership import Holder, Term
 
 QUESTION_PATH = "/peer/questions"
+MAX_QUESTIONS = 1000  # of one message
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,6 +50,7 @@
     leader: Holder
     terms: tuple[Term, ...]
     fences: dict[str, int]
+    listed: frozenset[str]
     holdings: dict[str, _HoldingMessage]
 
 
@@ -65,6 +67,8 @@
 def decode_question(body: bytes) -> Question:
     """Return the question in a request's body; raise ``CodecError`` if it can't be decoded."""
     question = decode(_question_decoder, body)
+    if len(question.jobs) > MAX_QUESTIONS:
+        raise CodecError(f"{len(question.jobs)} questions in one message")
     check_holders((question.asker, *(term.holder for term in question.terms)))
     return question
 
@@ -73,7 +77,9 @@
     """Return the response to a question."""
     report = reply.report
     holdings = {job: _encode_holding(holding) for job, holding in report.holdings.items()}
-    message = _ReplyMessage(report.leader, reply.terms, dict(report.fences), holdings)
+    message = _ReplyMessage(
+        report.leader, reply.terms, dict(report.fences), report.listed, holdings
+    )
     return Response(200, _encoder.encode(message))
 
 
@@ -84,7 +90,10 @@
     message = decode(_reply_decoder, response.body)
     check_holders((message.leader, *(term.holder for term in message.terms)))
     holdings = {job: _decode_holding(holding) for job, holding in message.holdings.items()}
-    return QuestionReply(message.terms, LeaderReport(message.leader, message.fences, holdings))
+    if not message.listed <= message.fences.keys():
+        raise CodecError("a failure domain without a fencing token")
+    report = LeaderReport(message.leader, message.fences, message.listed, holdings)
+    return QuestionReply(message.terms, report)
 
 
 def _encode_holding(holding: Holding) -> _HoldingMessage:
--- a/packages/execution/src/fireflybridge_execution/_active_job.py
+++ b/packages/execution/src/fireflybridge_execution/_active_job.py
@@ -45,9 +45,7 @@
         """Senders of the submissions that have ended, in order."""
         self.may_have_run = False
         self.is_deferred = False
-        """Whether another leader was last known to decide on the job."""
-        self.has_orphans = False
-        """Whether runs of an earlier leader were found before the job was cleared."""
+        """Whether the log says that another leader decides on the job."""
         self.waiting: deque[TaskId] = deque()
         self.runs: dict[TaskId, PlacedRun] = {}
         self.failed_runs = 0
--- a/packages/execution/src/fireflybridge_execution/_job_holdings.py
+++ b/packages/execution/src/fireflybridge_execution/_job_holdings.py
@@ -1,7 +1,7 @@
 """What this leader says of jobs that another leader has received as well."""
 
 import time
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Mapping
 
 from fireflybridge_clearances import (
     UNREACHABLE_S,
@@ -41,15 +41,19 @@
     def list_questions(self, leader: Holder) -> tuple[JobQuestion, ...]:
         """Return what another leader is to be asked now."""
         jobs = self._gate.clearances.list_open(leader)
-        return tuple(JobQuestion(job, self._jobs[job].has_begun) for job in jobs)
+        return tuple(self._make_question(self._jobs[job]) for job in jobs)
+
+    def _make_question(self, active: ActiveJob) -> JobQuestion:
+        return JobQuestion(active.job.id, active.has_begun, active.earlier is not None)
 
     def describe(
-        self, own: Holder, asker: Holder, questions: Iterable[JobQuestion]
+        self, own: Holder, asker: Holder, questions: Collection[JobQuestion]
     ) -> LeaderReport:
         """Return what is known of jobs to another leader that has received them."""
-        self._gate.clearances.note_contact(asker)
         holdings = {question.job: self._describe_job(question, asker) for question in questions}
-        return LeaderReport(own, self._sessions.fences, holdings)
+        is_marked = any(question.marked for question in questions)
+        listed = self._sessions.list_known_domains() if is_marked else frozenset()
+        return LeaderReport(own, self._sessions.fences, listed, holdings)
 
     def _describe_job(self, question: JobQuestion, asker: Holder) -> Holding:
         active = self._jobs.get(question.job)
@@ -68,8 +72,13 @@
 
         Both have begun a job only if they could not reach each other.
         """
-        begun = active.has_begun or self._gate.clearances.is_cleared(active.job.id)
-        return self._gate.clearances.takes_precedence(asker) if begun == question.begun else begun
+        clearances = self._gate.clearances
+        is_first = clearances.takes_precedence(asker)
+        if asker not in clearances.list_leaders():
+            return True
+        if question.begun:
+            return active.has_begun and is_first
+        return active.has_begun or clearances.is_cleared(active.job.id) or is_first
 
     def _may_run(self, job: str) -> bool:
         """Return whether a run of a job may be alive on the upstreams of this leader.
@@ -81,4 +90,4 @@
         is_new = now_s < self._gate.term_began_s + UNREACHABLE_S
         if is_new and not self._gate.knows_runs(now_s):
             return True
-        return bool(self._sessions.find_running_fences(job))
+        return self._sessions.has_run(job)
--- a/packages/execution/src/fireflybridge_execution/_scheduler.py
+++ b/packages/execution/src/fireflybridge_execution/_scheduler.py
@@ -1,7 +1,7 @@
 """Scheduler of a leader: queues jobs, places their tasks and answers the submissions."""
 
 import time
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 
 import anyio
 
@@ -92,7 +92,7 @@
         self._gate = StartGate(pauses, self._clearances)
         self._sessions = SessionManager(connector, self, self.run_lost, self._gate)
         self._crashes = CrashHistory() if crashes is None else crashes
-        self._earlier_runs = EarlierRunsTracker(self._sessions)
+        self._earlier_runs = EarlierRunsTracker(self._sessions, self._gate)
         self._placer = Placer(self._sessions, self._crashes)
         self._queue = JobQueue()
         self._jobs: dict[str, ActiveJob] = {}
@@ -201,19 +201,16 @@
         return self._holdings.list_questions(leader)
 
     def describe_jobs(
-        self, own: Holder, asker: Holder, questions: Iterable[JobQuestion]
+        self, own: Holder, asker: Holder, questions: Collection[JobQuestion]
     ) -> LeaderReport:
         """Return what this leader knows of jobs that another one has received as well."""
         return self._holdings.describe(own, asker, questions)
 
     def apply_report(self, report: LeaderReport, asked_s: float) -> None:
         """Apply what another leader says in reply to a question sent at a monotonic time."""
-        self._clearances.apply_report(report, asked_s)
-        for job, holding in report.holdings.items():
-            active = self._jobs.get(job)
-            if active is None:
-                continue
-            match holding:
+        for job in self._clearances.apply_report(report, asked_s):
+            active = self._jobs[job]
+            match report.holdings[job]:
                 case Held():
                     self._defer(active, report.leader)
                 case Answered(answer=answer):
@@ -228,7 +225,14 @@
             active.is_deferred = True
             self._on_event(JobDeferred(active.job.id, leader.host, bool(active.runs)))
         active.may_have_run = True
-        self._stop_runs(active)
+        for task, placed in list(active.runs.items()):
+            self._stop_run(task, placed)
+            session = self._sessions.find(placed.upstream)
+            if session is not None and (task, placed.number) not in session.runs:
+                # It had not been sent, so no end will be reported.
+                active.requeue(task)
+        if active.waiting:
+            self._enqueue(active)
 
     # Life cycle of a job
 
@@ -357,20 +361,12 @@
                 return
             if not self._may_start(active, now_s):
                 continue
-            self._adopt_orphans(active)
             self._place_job(active, now_s)
             if active.waiting and active.answer is None:
                 attempts_left -= 1
             else:
                 self._queue.remove(active)
 
-    def _adopt_orphans(self, active: ActiveJob) -> None:
-        """Adopt the runs of an earlier leader that were found before the job was cleared."""
-        if active.has_orphans:
-            active.has_orphans = False
-            for session in self._sessions:
-                session.adopt_orphans(active.job.id)
-
     def _place_job(self, active: ActiveJob, now_s: float) -> None:
         """Place a job's waiting tasks; an unexpected error ends the job and not the scheduler."""
         try:
@@ -520,9 +516,6 @@
         if active is None or active.answer is not None:
             return None
         is_own = active.is_current_run(run.task, upstream, run.number)
-        if not is_own and not self._clearances.is_cleared(active.job.id):
-            active.has_orphans = True
-            return None
         if not is_own and not active.adopt(run.task, upstream, run.number):
             return None
         self._on_event(EarlierRunAdopted(run.task, run.number, upstream))
--- a/packages/execution/src/fireflybridge_execution/_session_manager.py
+++ b/packages/execution/src/fireflybridge_execution/_session_manager.py
@@ -116,6 +116,14 @@
             and all(map(self._knows_all_upstreams, earlier.domains))
         )
 
+    def list_known_domains(self) -> frozenset[str]:
+        """Return the led failure domains in which every upstream that may run tasks has listed them."""
+        return frozenset(
+            domain
+            for domain, fence in self._fences.items()
+            if self.knows_earlier_runs(EarlierRuns(domains={domain: fence}))
+        )
+
     def can_learn_earlier_runs(self, earlier: EarlierRuns) -> bool:
         """Return whether this host leads every upstream that may have an earlier run."""
         return earlier.upstreams.keys() <= self._sessions.keys() and all(
@@ -143,6 +151,10 @@
         sessions = sorted(chain(self, self._retired), key=lambda session: session.fence)
         return {s.info.id: s.fence for s in sessions if s.runs.has_job(job)}
 
+    def has_run(self, job: str) -> bool:
+        """Return whether a run of a job may be alive on an upstream, led still or no longer."""
+        return any(session.runs.has_job(job) for session in chain(self, self._retired))
+
     @property
     def fences(self) -> Mapping[str, int]:
         """Return the led failure domains with their fencing tokens."""
