--- a/features/clearance_orders.feature
+++ b/features/clearance_orders.feature
@@ -68,3 +68,8 @@
     # Guards against a start for a sender that has read of another leader, and has sent the job there.
     When the leader reads a job just after its sender has followed the leader of a newer term
     Then nothing was placed for the sender
+
+  Scenario: A job isn't started beside its run on an upstream that the domain's new leader hasn't listed
+    # Guards against a clearance by a leader that can't know the runs of the one before, which lives.
+    When a job is sent to a leader while the new one of the failure domain where it runs lacks a list
+    Then no two runs of a task were alive at one time
--- a/features/steps/clearance_orders.py
+++ b/features/steps/clearance_orders.py
@@ -357,3 +357,23 @@
 @then("nothing was placed for the sender")
 def check_nothing_placed(context: Context) -> None:
     assert not context.placed, context.placed
+
+
+@when("a job is sent to a leader while the new one of the failure domain where it runs lacks a list")
+def submit_beside_unlisted(context: Context) -> None:
+    async def play(first: LinkedLeader, second: LinkedLeader, group: TaskGroup) -> None:
+        await begin(context, first, second)
+        third = LinkedLeader(context, "third")
+        await group.start(third.serve)
+        group.start_soon(first.submit, JOB)
+        await wait_until(lambda: has_run(context, "u0", JOB))
+        third.network.cut = {"u0"}
+        third.learn(*second.leadership.terms.values())
+        second.learn(*third.begin_terms(SECOND, "z1"))
+        third.see(context.infos, *context.infos)
+        group.start_soon(second.submit, JOB)
+        await anyio.sleep(OBSERVED_S)  # the former leader hears of the term after this time
+        first.learn(*third.leadership.terms.values())
+        await anyio.sleep(OBSERVED_S)
+
+    run_linked(context, play)
