Let the soak hold back requests between hosts, send callers as the platform does, and check placements

The callers go to the hosts in rotation of their failure domain, to the nearest one's if none is, and to all of the domain's if fewer than half are; a quarter goes to any host, as all did before. A new fault holds what a host sends to its leader for 0.1 to 3 s, on a link of the proxy of its own, and delivers it although the sender has given up or ended. The check reads the logs of every process of a host.

--- a/features/soak.py
+++ b/features/soak.py
@@ -9,40 +9,30 @@
 import sys
 import time
 from collections import Counter
-from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
 
 sys.path.insert(0, str(Path(__file__).parent))
 
-from support.callers import UNANSWERED, Attempt, Callers, choose_hosts
-from support.invariants import Outage, find_violations
+from support.callers import UNANSWERED, Attempt, Callers
+from support.invariants import find_violations
+from support.placed_jobs import count_shared_jobs, find_double_placements, find_shared_jobs
 from support.processes import Processes, run_with_processes, wait_until
+from support.rotation import Rotation
 from support.schedule import TimedAction, run_schedule
 from support.site import SiteDeployment
+from support.site_faults import SiteFaults
 
 ZONES = 3
 HOSTS_PER_ZONE = 2
 UPSTREAMS_PER_ZONE = 3
 WORK_MS = 100
 JOBS_PER_S = 8  # a third of the capacity, so that refusals come from faults
-FAULT_INTERVAL_S = 1.2  # faults overlap: each lasts up to 4 s
+ANY_HOST_SHARE = 0.25  # of callers whose hosts the platform doesn't choose
+JOINED_UPSTREAMS = (None, 0)  # one host leads all failure domains, or each has its own leader
+FAULT_INTERVAL_S = 0.9  # faults overlap: each lasts up to 4 s
 READY_TIMEOUT_S = 20.0  # a lost leader is replaced and one host leads again within seconds
 PERIOD_S = 12.0  # of faults, followed by recovery and the checks
-PAUSE_DURATIONS_S = (0.3, 1.0, 3.0)
-FAULT_DURATIONS_S = (0.5, 2.0, 4.0)
-LINK_FAULTS: tuple[dict[str, Any], ...] = (
-    {"kind": "delay", "direction": "backward", "delay_ms": 150},
-    {"kind": "drop", "direction": "forward"},
-    {"kind": "drop", "direction": "backward"},
-    {"kind": "hold", "direction": "forward"},
-    {"kind": "hold", "direction": "backward"},
-    {"kind": "refuse"},
-    {"kind": "truncate", "direction": "backward", "after_bytes": 40},
-    {"kind": "lose_answer", "count": 3},
-)
-UPSTREAM_FAULTS = ("fails", "hangs", "unhealthy", "mute")
 
 
 @dataclass(slots=True)
@@ -51,11 +41,9 @@
 
     deployment: SiteDeployment
     callers: Callers
+    rotation: Rotation
+    faults: SiteFaults
     rng: random.Random
-    injected: Counter[str] = field(default_factory=Counter)
-    outages: list[Outage] = field(default_factory=list)
-    down: dict[str, float] = field(default_factory=dict)
-    paused: dict[str, float] = field(default_factory=dict)
 
     def run_period(self) -> list[str]:
         """Run one period, clear its faults, and return its steps."""
@@ -63,7 +51,7 @@
         count = int(PERIOD_S / FAULT_INTERVAL_S)
         faults = [step for _ in range(count) for step in self._choose_fault()]
         steps = run_schedule([*jobs, *faults])
-        self._clear_faults()
+        self.faults.clear()
         self.callers.wait_all()
         return steps
 
@@ -71,161 +59,36 @@
         """Return the violated guarantees and the hosts that aren't ready again."""
         runs = self.deployment.list_runs()
         unready = self._wait_ready()
-        return [*unready, *find_violations(self.callers.attempts, runs, self.outages)]
+        pairs = find_double_placements(self.deployment.read_logs())
+        return [
+            *unready,
+            *(f"two leaders had placed tasks of one job: {pair}" for pair in pairs),
+            *find_violations(self.callers.attempts, runs, self.faults.outages),
+        ]
+
+    def _choose_fault(self) -> list[TimedAction]:
+        return self.faults.choose(self.rng.uniform(0.0, PERIOD_S))
 
     def _make_job(self) -> TimedAction:
-        hosts = choose_hosts(self.rng, self.deployment.hosts)
+        domain = self.rng.choice(sorted(set(self.rotation.domains.values())))
+        goes_anywhere = self.rng.random() < ANY_HOST_SHARE
+        rng = random.Random(self.rng.random())
         tasks = self.rng.choice((1, 1, 2, 4))
         at = self.rng.uniform(0.0, PERIOD_S)
-        return TimedAction(
-            at, f"job of {tasks} at {hosts[0]}", lambda: self.callers.submit(hosts, tasks)
-        )
 
-    def _choose_fault(self) -> list[TimedAction]:
-        at = self.rng.uniform(0.0, PERIOD_S)
-        host = self.rng.choice(sorted(self.deployment.hosts))
-        upstream = self.rng.choice(sorted(self.deployment.control("state")["fences"]))
-        match self.rng.choice(("kill", "stop", "pause", "hup", "store", "link", "upstream", "log")):
-            case "pause":
-                until = at + self.rng.choice(PAUSE_DURATIONS_S)
-                return self._make_fault_pair(
-                    "pause",
-                    at,
-                    until,
-                    lambda: self._pause_host(host),
-                    lambda: self._resume_host(host),
-                    host,
-                )
-            case "kill" | "stop" as kind:
-                until = at + self.rng.choice(PAUSE_DURATIONS_S)
-                return self._make_fault_pair(
-                    kind,
-                    at,
-                    until,
-                    lambda: self._stop_host(host, kind),
-                    lambda: self._restart_host(host),
-                    host,
-                )
-            case "hup":
-                return [self._make_counted_step("hup", at, lambda: self._reload_host(host), host)]
-            case "store":
-                names = self.rng.choice(([host], sorted(self.deployment.hosts)))
-                return self._make_link_fault("store", at, [f"store-{name}" for name in names])
-            case "link":
-                return self._make_link_fault("link", at, [upstream])
-            case "upstream":
-                return self._make_upstream_fault(at, upstream)
-            case _:
-                return [self._make_counted_step("log", at, self._disturb_log, "")]
-
-    def _make_link_fault(self, kind: str, at: float, links: list[str]) -> list[TimedAction]:
-        proxy = self.deployment.proxy
-        assert proxy is not None
-        fault = self.rng.choice(LINK_FAULTS)
-        until = at + self.rng.choice(FAULT_DURATIONS_S)
-        return self._make_fault_pair(
-            kind,
-            at,
-            until,
-            lambda: proxy.set_faults(*links, faults=[fault]),
-            lambda: proxy.clear_faults(*links),
-            f"{fault['kind']} {links[0]}",
-        )
+        def choose_host() -> str:
+            if goes_anywhere:
+                return rng.choice(sorted(self.deployment.hosts))
+            return self.rotation.choose_host(rng, domain)
 
-    def _make_upstream_fault(self, at: float, upstream: str) -> list[TimedAction]:
-        fault = self.rng.choice(UPSTREAM_FAULTS)
-        until = at + self.rng.choice(FAULT_DURATIONS_S)
-        path = f"upstreams/{upstream}"
-        return self._make_fault_pair(
-            "upstream",
-            at,
-            until,
-            lambda: self._control(path, {fault: True}),
-            lambda: self._control(path, {fault: False}),
-            f"{fault} {upstream}",
+        return TimedAction(
+            at, f"job of {tasks} from {domain}", lambda: self.callers.submit(choose_host, tasks)
         )
 
-    def _make_fault_pair(
-        self,
-        kind: str,
-        at: float,
-        until: float,
-        begin: Callable[[], None],
-        end: Callable[[], None],
-        detail: str,
-    ) -> list[TimedAction]:
-        return [
-            self._make_counted_step(kind, at, begin, detail),
-            TimedAction(until, f"end {kind} {detail}", end),
-        ]
-
-    def _make_counted_step(
-        self, kind: str, at: float, act: Callable[[], None], detail: str
-    ) -> TimedAction:
-        def count_and_act() -> None:
-            self.injected[kind] += 1
-            act()
-
-        return TimedAction(at, f"{kind} {detail}", count_and_act)
-
-    def _control(self, path: str, body: dict[str, Any]) -> None:
-        self.deployment.control(path, body)
-
-    def _disturb_log(self) -> None:
-        """Lose the response to the next append, and delete the history of the terms."""
-        self._control("store", {"lost_appends": 1})
-        self._control("forget/keyed.leaders", {})
-
-    def _pause_host(self, host: str) -> None:
-        if host not in self.down and host not in self.paused:
-            self.paused[host] = time.monotonic()
-            self.deployment.hosts[host].pause()
-
-    def _resume_host(self, host: str) -> None:
-        began_s = self.paused.pop(host, None)
-        if began_s is not None:
-            self.deployment.hosts[host].resume()
-            self.outages.append(Outage(host, began_s, time.monotonic()))
-
-    def _reload_host(self, host: str) -> None:
-        """Send SIGHUP once the program handles it; before, it would terminate the interpreter."""
-        program = self.deployment.hosts[host]
-        if host not in self.down:
-            wait_until(program.handles_reload, detail=f"{host} handles SIGHUP")
-            program.reload()
-
-    def _stop_host(self, host: str, kind: str) -> None:
-        """Kill a host, or send it SIGTERM."""
-        if host in self.down:
-            return
-        self._resume_host(host)
-        self.down[host] = time.monotonic()
-        program = self.deployment.hosts[host]
-        if kind == "kill":
-            program.kill()
-            self.outages.append(Outage(host, self.down[host], time.monotonic()))
-        else:
-            program.terminate()
-
-    def _restart_host(self, host: str) -> None:
-        if self.down.pop(host, None) is not None:
-            self.deployment.hosts[host].wait_exit()
-            self.deployment.start_host(host)
-
-    def _clear_faults(self) -> None:
-        """Clear every fault and start the hosts that were stopped."""
-        deployment = self.deployment
-        for host in list(self.paused):
-            self._resume_host(host)
-        for host in list(self.down):
-            self._restart_host(host)
-        state = deployment.control("state")
-        assert deployment.proxy is not None
-        links = [*state["fences"], *(f"store-{host}" for host in deployment.hosts)]
-        deployment.proxy.clear_faults(*links)
-        for upstream in state["fences"]:
-            self._control(f"upstreams/{upstream}", dict.fromkeys(UPSTREAM_FAULTS, False))
-        self._control("store", {"lost_appends": 0})
+    def close(self) -> None:
+        """Stop the threads of the callers and of the rotation."""
+        self.callers.close()
+        self.rotation.close()
 
     def _wait_ready(self) -> list[str]:
         """Return the hosts that aren't ready again although every fault was cleared."""
@@ -248,12 +111,18 @@
 
     The logs of all programs are saved in a folder if a guarantee was violated.
     """
+    rng = random.Random(seed)
     deployment = SiteDeployment(
-        processes, ZONES, HOSTS_PER_ZONE, UPSTREAMS_PER_ZONE, WORK_MS, proxied=True
+        processes,
+        ZONES,
+        HOSTS_PER_ZONE,
+        UPSTREAMS_PER_ZONE,
+        WORK_MS,
+        joined_upstreams=rng.choice(JOINED_UPSTREAMS),
+        proxied=True,
     )
     deployment.start()
-    callers = Callers({name: f"{deployment.find_ip(name)}:8161" for name in deployment.hosts})
-    soak = Soak(deployment, callers, random.Random(seed))
+    soak = make_soak(deployment, rng)
     began_s = time.monotonic()
     violations: list[str] = []
     try:
@@ -264,13 +133,31 @@
     finally:
         if violations or sys.exc_info()[0] is not None:
             save_logs(processes, logs / f"seed-{seed}")
-    callers.close()
-    print(f"seed {seed}: faults {dict(soak.injected)}, answers {count_answers(callers.attempts)}")
+    soak.close()
+    print_totals(soak, seed)
     print(f"{len(deployment.list_runs())} runs checked, {len(violations)} violations")
     deployment.close()
     return int(bool(violations))
 
 
+def make_soak(deployment: SiteDeployment, rng: random.Random) -> Soak:
+    """Return a soak of a deployment, with callers whom the platform's rotation sends to hosts."""
+    addresses = {name: deployment.find_ip(name) for name in deployment.hosts}
+    domains = {name: deployment.find_zone(name) for name in deployment.hosts}
+    rotation = Rotation(addresses, domains)
+    rotation.start()
+    callers = Callers({name: f"{address}:8161" for name, address in addresses.items()})
+    return Soak(deployment, callers, rotation, SiteFaults(deployment, rng), rng)
+
+
+def print_totals(soak: Soak, seed: int) -> None:
+    """Print the faults, the answers, and how many jobs two leaders had at the same time."""
+    answers = count_answers(soak.callers.attempts)
+    shared = count_shared_jobs(find_shared_jobs(soak.deployment.read_logs()))
+    print(f"seed {seed}: faults {dict(soak.faults.injected)}, answers {answers}")
+    print(f"one host leads all: {soak.deployment.joined_upstreams is None}, shared jobs {shared}")
+
+
 def save_logs(processes: Processes, folder: Path) -> None:
     """Write what each program logged to a folder."""
     folder.mkdir(parents=True, exist_ok=True)
--- a/features/support/callers.py
+++ b/features/support/callers.py
@@ -1,11 +1,9 @@
 """Callers of hosts on the users' platform, with persistent connections and retries."""
 
-import itertools
-import random
 import threading
 import time
 import uuid
-from collections.abc import Iterable
+from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor, wait
 from dataclasses import dataclass, field
 from typing import Any
@@ -41,7 +39,7 @@
 
 @dataclass(slots=True)
 class Callers:
-    """Submit jobs to random hosts over persistent connections and record every attempt."""
+    """Submit jobs over persistent connections and record every attempt."""
 
     addresses: dict[str, str]
     attempts: list[Attempt] = field(default_factory=list)
@@ -50,9 +48,9 @@
     _pool: ThreadPoolExecutor = field(default_factory=lambda: ThreadPoolExecutor(MAX_CALLERS))
     _jobs: list[Future[None]] = field(default_factory=list)
 
-    def submit(self, hosts: Iterable[str], tasks: int) -> None:
-        """Submit a job from another thread, to one host after the other until it is answered."""
-        self._jobs.append(self._pool.submit(self._submit, tuple(hosts), tasks))
+    def submit(self, choose_host: Callable[[], str], tasks: int) -> None:
+        """Submit a job from another thread until it is answered, each time to a newly chosen host."""
+        self._jobs.append(self._pool.submit(self._submit, choose_host, tasks))
 
     def wait_all(self) -> None:
         """Wait for the last attempt of every job."""
@@ -65,10 +63,10 @@
         """Stop the threads."""
         self._pool.shutdown()
 
-    def _submit(self, hosts: tuple[str, ...], tasks: int) -> None:
+    def _submit(self, choose_host: Callable[[], str], tasks: int) -> None:
         job = uuid.uuid4().hex[:16]
-        for host in itertools.islice(itertools.cycle(hosts), MAX_ATTEMPTS):
-            attempt = self._attempt(job, tasks, host)
+        for _ in range(MAX_ATTEMPTS):
+            attempt = self._attempt(job, tasks, choose_host())
             with self._lock:
                 self.attempts.append(attempt)
             if attempt.status not in RETRIED_STATUSES:
@@ -108,10 +106,3 @@
         return ""
     body: dict[str, Any] = response.json()
     return str(body["state"])
-
-
-def choose_hosts(generator: random.Random, hosts: Iterable[str]) -> tuple[str, ...]:
-    """Return the hosts in the random order in which a caller tries them."""
-    names = list(hosts)
-    generator.shuffle(names)
-    return tuple(names)
--- a/features/support/site.py
+++ b/features/support/site.py
@@ -16,6 +16,7 @@
 
 import httpx
 
+from support.peer_links import PeerLinks, add_peer_links
 from support.processes import Processes, Program, wait_until
 from support.proxy import Proxy, start_proxy
 
@@ -23,6 +24,7 @@
 TIMEOUT_MS = 3000
 HEADERS = {"host": "desk.example", "x-deadline-ms": str(TIMEOUT_MS)}
 ADDRESSES_PER_DEPLOYMENT = 8
+FIRST_PORT = 7720  # hosts serve each other there
 LONGEST_ESTIMATE_MS = 800
 REPEATED_STATUSES = frozenset({0, 502, 503, 504})
 RESUBMISSION_DELAY_S = 1.3
@@ -52,10 +54,14 @@
     joined_upstreams: int | None = None
     """Largest number of upstreams for which one host leads all zones; None for the default."""
     proxied: bool = False
-    """Whether the hosts reach the store and the upstreams through links of a proxy."""
+    """Whether hosts reach the store, the upstreams and each other through links of a proxy."""
     proxy: Proxy | None = None
+    peer_links: PeerLinks | None = None
+    """Links between the hosts, if the hosts were given any."""
     site: Program = field(init=False)
     hosts: dict[str, Program] = field(default_factory=dict)
+    started: list[Program] = field(default_factory=list)
+    """Every process of a host, also those that have ended."""
     version: int = 0
     _directory: tempfile.TemporaryDirectory[str] = field(
         default_factory=tempfile.TemporaryDirectory
@@ -76,17 +82,23 @@
             f"--work-ms={self.work_ms}",
         )
         if self.proxied:
-            self._route_upstreams_through_proxy()
+            self._add_proxy()
         self.configure({"orders": "/orders/"})
-        for index in range(self.first_host - 1, self.zones * self.hosts_per_zone):
-            self.start_host(f"h{index + 1}")
+        for name in self._list_names():
+            self.start_host(name)
         for name in self.hosts:
             wait_until(lambda name=name: self.is_ready(name), detail=f"{name} is ready")
 
-    def _route_upstreams_through_proxy(self) -> None:
+    def _add_proxy(self) -> None:
         self.proxy = start_proxy(self.processes)
         for name, address in self.control("state")["addresses"].items():
             self.control(f"upstreams/{name}", {"address": self.proxy.add_link(name, address)})
+        addresses = {name: f"{self.find_ip(name)}:{FIRST_PORT}" for name in self._list_names()}
+        self.peer_links = add_peer_links(self.proxy, addresses)
+
+    def _list_names(self) -> list[str]:
+        last = self.zones * self.hosts_per_zone
+        return [f"h{number}" for number in range(self.first_host, last + 1)]
 
     def find_store(self, host: str) -> str:
         """Return the address at which a host reaches the store; each has a link of its own."""
@@ -104,7 +116,12 @@
         environment = {"FIREFLYBRIDGE_SETTINGS": str(path)}
         if self.joined_upstreams is not None:
             environment["FIREFLYBRIDGE_JOINED_UPSTREAMS"] = str(self.joined_upstreams)
-        self.hosts[name] = self.processes.spawn("fireflybridge_adapter", environment=environment)
+        module = "fireflybridge_adapter"
+        if self.peer_links is not None:
+            module = "fireflybridge_standins.linked_host"
+            environment |= self.peer_links.make_environment(name)
+        self.hosts[name] = self.processes.spawn(module, environment=environment)
+        self.started.append(self.hosts[name])
 
     @property
     def estimate_ms(self) -> int:
@@ -229,7 +246,11 @@
 
     def read_all_events(self, host: str) -> list[dict[str, Any]]:
         """Return the log lines of a host."""
-        return list(map(json.loads, self.hosts[host].read_stdout().splitlines()))
+        return parse_log(self.hosts[host])
+
+    def read_logs(self) -> list[list[dict[str, Any]]]:
+        """Return the log lines of each process of a host, also of those that have ended."""
+        return list(map(parse_log, self.started))
 
     def close(self) -> None:
         """End the callers' threads and delete the settings files."""
@@ -248,7 +269,7 @@
         yield from (f"zones.z{index}=region" for index in range(1, self.zones + 1))
         yield f"listen.front={ip}:8161"
         yield f"listen.ready={ip}:8167"
-        yield "port_range=7720,7735"
+        yield f"port_range={FIRST_PORT},{FIRST_PORT + 15}"
         # The first host is the strongest, so it leads.
         yield f"limits.cpu_share={1 / int(name[1:])}"
         yield "limits.cores=3"
@@ -263,6 +284,11 @@
     return Answer(response.status, state, response.headers.get("retry-after", ""))
 
 
+def parse_log(program: Program) -> list[dict[str, Any]]:
+    """Return the log lines of a host's process."""
+    return list(map(json.loads, program.read_stdout().splitlines()))
+
+
 def choose_network(pid: int) -> str:
     """Return the first three parts of loopback addresses that no other test process uses.
 
