--- a/features/soak.py
+++ b/features/soak.py
@@ -153,9 +153,11 @@
 def print_totals(soak: Soak, seed: int) -> None:
     """Print the faults, the answers, and how many jobs two leaders had at the same time."""
     answers = count_answers(soak.callers.attempts)
-    shared = count_shared_jobs(find_shared_jobs(soak.deployment.read_logs()))
+    shared = find_shared_jobs(soak.deployment.read_logs())
     print(f"seed {seed}: faults {dict(soak.faults.injected)}, answers {answers}")
-    print(f"one host leads all: {soak.deployment.joined_upstreams is None}, shared jobs {shared}")
+    print(*(f"two leaders had one job: {pair}" for pair in shared), sep="\n")
+    leads_all = soak.deployment.joined_upstreams is None
+    print(f"one host leads all: {leads_all}, shared jobs {count_shared_jobs(shared)}")
 
 
 def save_logs(processes: Processes, folder: Path) -> None:
--- a/features/support/site_faults.py
+++ b/features/support/site_faults.py
@@ -8,6 +8,7 @@
 from functools import partial
 from typing import Any
 
+from support.callers import RETRY_DELAY_S
 from support.invariants import Outage
 from support.peer_links import PeerLinks
 from support.processes import wait_until
@@ -28,9 +29,9 @@
 )
 FAULT_KINDS = ("kill", "stop", "pause", "hup", "store", "link", "upstream", "log", "hold", "hold")
 UPSTREAM_FAULTS = ("fails", "hangs", "unhealthy", "mute")
-
 HOLD_DURATIONS_S = (0.1, 3.0)
-HELD_SENDER_FAULT_SHARE = 0.5  # a caller comes back at once if the host ends that it was sent to
+HELD_KILL_DELAYS_S = (0.1, 1.5)
+RETRIED_JOB_S = 0.2  # a retried job runs about so long: the held submission arrives meanwhile
 
 
 @dataclass(slots=True)
@@ -79,17 +80,23 @@
         )
 
     def _make_held_requests(self, at: float) -> list[TimedAction]:
-        """Hold back what a host sends to its leader; sometimes the sender ends meanwhile."""
+        """Hold back what one host, or all of its failure domain, send to their leader."""
         hosts = sorted(self.deployment.hosts)
         self.rng.shuffle(hosts)
-        held = HeldRequests(self.deployment, tuple(hosts))
+        held = HeldRequests(self.deployment, tuple(hosts), self.rng.choice((True, False)))
         until = at + self.rng.uniform(*HOLD_DURATIONS_S)
-        steps = self._make_fault_pair("hold", at, until, held.begin, held.end, f"of {hosts}")
-        if self.rng.random() < HELD_SENDER_FAULT_SHARE:
-            kind = self.rng.choice(("kill", "stop", "pause"))
-            begin = self.rng.uniform(at, until)
-            steps += self._make_outage(kind, begin, held.get_sender, "the sender")
-        return steps
+        outage: list[TimedAction] = []
+        match self.rng.choice(("none", "kill", "stop", "pause", "killed before the retry")):
+            case "kill" | "stop" | "pause" as kind:
+                begin = self.rng.uniform(at, until)
+                outage = self._make_outage(kind, begin, held.get_sender, "the sender")
+            case "killed before the retry":
+                begin = at + self.rng.uniform(*HELD_KILL_DELAYS_S)
+                until = begin + RETRY_DELAY_S + self.rng.uniform(0.0, RETRIED_JOB_S)
+                outage = self._make_outage("kill", begin, held.get_sender, "the sender")
+        return outage + self._make_fault_pair(
+            "hold", at, until, held.begin, held.end, f"of {hosts}"
+        )
 
     def _make_link_fault(self, kind: str, at: float, links: list[str]) -> list[TimedAction]:
         proxy = self.deployment.proxy
@@ -205,35 +212,42 @@
 
 @dataclass(slots=True)
 class HeldRequests:
-    """Hold back what one host sends to the leader that it has when the fault begins.
+    """Hold back what hosts send to the leader that they have when the fault begins.
 
-    The sender is the first of ``hosts`` that another host leads. What it has sent is delivered at
-    the end, although it may have given up waiting or have ended.
+    The first sender is the first of ``hosts`` that another host leads; the others are those of its
+    failure domain if ``whole_domain`` is set. What was sent is delivered at the end, although its
+    sender may have given up waiting or have ended.
     """
 
     deployment: SiteDeployment
     hosts: tuple[str, ...]
-    sender: str = ""
+    whole_domain: bool
+    senders: tuple[str, ...] = ()
     leader: str = ""
 
     def begin(self) -> None:
-        """Choose the sender and hold its requests."""
+        """Choose the senders and hold their requests."""
         leaders = self.deployment.control("state")["leaders"]
-        led = ((host, leaders.get(self.deployment.find_zone(host), host)) for host in self.hosts)
-        found = next(((host, leader) for host, leader in led if leader != host), None)
-        if found is not None:
-            self.sender, self.leader = found
-            self._find_links().hold(self.sender, self.leader)
+        domains = {host: self.deployment.find_zone(host) for host in self.hosts}
+        led = [host for host in self.hosts if leaders.get(domains[host], host) != host]
+        if led:
+            domain = domains[led[0]]
+            self.leader = leaders[domain]
+            members = tuple(host for host in led if domains[host] == domain)
+            self.senders = members if self.whole_domain else members[:1]
+        for sender in self.senders:
+            self._links.hold(sender, self.leader)
 
     def end(self) -> None:
         """Deliver what was held."""
-        if self.sender:
-            self._find_links().release(self.sender, self.leader)
+        for sender in self.senders:
+            self._links.release(sender, self.leader)
 
     def get_sender(self) -> str:
-        """Return the sender, or any host if each led its own failure domain."""
-        return self.sender or self.hosts[0]
+        """Return the first sender, or any host if each leads its own failure domain."""
+        return (*self.senders, *self.hosts)[0]
 
-    def _find_links(self) -> PeerLinks:
+    @property
+    def _links(self) -> PeerLinks:
         assert self.deployment.peer_links is not None
         return self.deployment.peer_links
