--- a/features/soak.py
+++ b/features/soak.py
@@ -129,7 +129,8 @@
         while not violations and time.monotonic() < began_s + seconds:
             steps = soak.run_period()
             violations = soak.find_violations()
-            print(*(steps if violations else ()), *violations, sep="\n", end="")
+            if violations:
+                print(*steps, *violations, sep="\n")
     finally:
         if violations or sys.exc_info()[0] is not None:
             save_logs(processes, logs / f"seed-{seed}")
@@ -155,7 +156,8 @@
     answers = count_answers(soak.callers.attempts)
     shared = find_shared_jobs(soak.deployment.read_logs())
     print(f"seed {seed}: faults {dict(soak.faults.injected)}, answers {answers}")
-    print(*(f"two leaders had one job: {pair}" for pair in shared), sep="\n")
+    for pair in shared:
+        print(f"two leaders had one job: {pair}")
     leads_all = soak.deployment.joined_upstreams is None
     print(f"one host leads all: {leads_all}, shared jobs {count_shared_jobs(shared)}")
 
