--- a/features/soak.py
+++ b/features/soak.py
@@ -5,6 +5,7 @@
 """
 
 import argparse
+import os
 import random
 import sys
 import time
@@ -130,10 +131,10 @@
             steps = soak.run_period()
             violations = soak.find_violations()
             if violations:
-                print(*steps, *violations, sep="\n")
+                print(*steps, *soak.faults.list_holds(), *violations, sep="\n")
     finally:
         if violations or sys.exc_info()[0] is not None:
-            save_logs(processes, logs / f"seed-{seed}")
+            save_logs(processes, logs / f"seed-{seed}-{os.getpid()}")
     soak.close()
     print_totals(soak, seed)
     print(f"{len(deployment.list_runs())} runs checked, {len(violations)} violations")
--- a/features/support/site_faults.py
+++ b/features/support/site_faults.py
@@ -44,6 +44,7 @@
     outages: list[Outage] = field(default_factory=list)
     down: dict[str, float] = field(default_factory=dict)
     paused: dict[str, float] = field(default_factory=dict)
+    holds: list["HeldRequests"] = field(default_factory=list)
 
     def choose(self, at: float) -> list[TimedAction]:
         """Draw a fault that begins at a time of the schedule, and return its steps."""
@@ -66,6 +67,10 @@
             case _:
                 return [self._make_counted_step("log", at, self._disturb_log, "")]
 
+    def list_holds(self) -> list[str]:
+        """Return whose requests were held, as text."""
+        return [f"hold {number}: {held.describe()}" for number, held in enumerate(self.holds, 1)]
+
     def _make_outage(
         self, kind: str, at: float, find_host: Callable[[], str], detail: str
     ) -> list[TimedAction]:
@@ -84,19 +89,20 @@
         hosts = sorted(self.deployment.hosts)
         self.rng.shuffle(hosts)
         held = HeldRequests(self.deployment, tuple(hosts), self.rng.choice((True, False)))
+        self.holds.append(held)
         until = at + self.rng.uniform(*HOLD_DURATIONS_S)
+        number = len(self.holds)
+        sender = f"the sender of hold {number}"
         outage: list[TimedAction] = []
         match self.rng.choice(("none", "kill", "stop", "pause", "killed before the retry")):
             case "kill" | "stop" | "pause" as kind:
                 begin = self.rng.uniform(at, until)
-                outage = self._make_outage(kind, begin, held.get_sender, "the sender")
+                outage = self._make_outage(kind, begin, held.get_sender, sender)
             case "killed before the retry":
                 begin = at + self.rng.uniform(*HELD_KILL_DELAYS_S)
                 until = begin + RETRY_DELAY_S + self.rng.uniform(0.0, RETRIED_JOB_S)
-                outage = self._make_outage("kill", begin, held.get_sender, "the sender")
-        return outage + self._make_fault_pair(
-            "hold", at, until, held.begin, held.end, f"of {hosts}"
-        )
+                outage = self._make_outage("kill", begin, held.get_sender, sender)
+        return outage + self._make_fault_pair("hold", at, until, held.begin, held.end, str(number))
 
     def _make_link_fault(self, kind: str, at: float, links: list[str]) -> list[TimedAction]:
         proxy = self.deployment.proxy
@@ -243,6 +249,10 @@
         for sender in self.senders:
             self._links.release(sender, self.leader)
 
+    def describe(self) -> str:
+        """Return the senders and the leader as text."""
+        return f"{', '.join(self.senders) or 'nobody'} to {self.leader}"
+
     def get_sender(self) -> str:
         """Return the first sender, or any host if each leads its own failure domain."""
         return (*self.senders, *self.hosts)[0]
