--- a/features/steps/soak_checks.py
+++ b/features/steps/soak_checks.py
@@ -9,10 +9,10 @@
 
 from behave import given, then, when
 from behave.runner import Context
+from support.linked_hosts import start_linked_hosts
 from support.placed_jobs import EventId, find_double_placements
 from support.processes import wait_until
 from support.rotation import list_candidates
-from support.site import SiteDeployment
 
 HELD_S = 1.0  # the leader would have received the job long before
 ZONES = 3
@@ -57,16 +57,8 @@
 
 
 @given("hosts on a site that reach each other through links")
-def start_linked_hosts(context: Context) -> None:
-    context.deployment = SiteDeployment(context.processes, hosts_per_zone=2, proxied=True)
-    context.add_cleanup(context.deployment.close)
-    context.deployment.start()
-    wait_until(lambda: leads_all(context.deployment, "h1"), detail="h1 leads every zone")
-
-
-def leads_all(deployment: SiteDeployment, host: str) -> bool:
-    leaders = deployment.control("state")["leaders"]
-    return len(leaders) == deployment.zones and set(leaders.values()) == {host}
+def start_hosts(context: Context) -> None:
+    start_linked_hosts(context)
 
 
 @when("a job is sent to a host that is killed while its requests to the leader are held back")
