--- a/packages/entry/src/fireflybridge_entry/__init__.py
+++ b/packages/entry/src/fireflybridge_entry/__init__.py
@@ -12,7 +12,7 @@
 from fireflybridge_entry._leader_contacts import LeaderContacts
 from fireflybridge_entry._leader_links import LeaderLinks
 from fireflybridge_entry._leader_monitor import LeaderLoss, LeaderMonitor
-from fireflybridge_entry._peer_service import PeerService
+from fireflybridge_entry._peer_service import LateSubmission, PeerService
 from fireflybridge_entry._submission import (
     JobSubmitter,
     LocalLeader,
@@ -26,6 +26,7 @@
     "ConfigurationSource",
     "JobScheduler",
     "JobSubmitter",
+    "LateSubmission",
     "LeaderContacts",
     "LeaderLinks",
     "LeaderLoss",
--- a/packages/entry/src/fireflybridge_entry/_peer_service.py
+++ b/packages/entry/src/fireflybridge_entry/_peer_service.py
@@ -1,6 +1,6 @@
 """Requests of other hosts: heartbeats, and submissions of jobs while this host leads."""
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, replace
 
 import anyio
@@ -46,6 +46,20 @@
     received_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class LateSubmission:
+    """A submission that wasn't taken; ``stamp_age_ms`` is None if its sender returned no stamp."""
+
+    job: str
+    sender: str
+    number: int
+    stamp_age_ms: float | None
+
+
+def _ignore_late(_late: LateSubmission) -> None:
+    """Do nothing."""
+
+
 @dataclass(frozen=True, slots=True)
 class _Wait:
     """A submission whose sender waits for the answer, and the scope that ends the wait."""
@@ -70,7 +84,10 @@
         leadership: Leadership,
         pauses: PauseMonitor,
         crashes: CrashHistory | None = None,
+        on_late: Callable[[LateSubmission], None] = _ignore_late,
     ) -> None:
+        """Call ``on_late`` with each submission that isn't taken while this host leads."""
+        self._on_late = on_late
         self._host = host
         self._pauses = pauses
         self._scheduler = scheduler
@@ -207,11 +224,22 @@
             return Response(400)
         sender = Sender(submission.sender, submission.incarnation)
         if not self._may_take(sender, submission, request):
+            self._report_late(submission)
             return encode_answer(Moved(submission.earlier))
         if submission.stamp is not None and self._leases.renew(sender, submission.stamp):
             self._note_contact(sender)
         return encode_answer(await self._wait_for_answer(sender, submission))
 
+    def _report_late(self, submission: Submission) -> None:
+        if self._leadership.find_terms_held_by(self._host.holder):
+            age_ms = self._compute_stamp_age_ms(submission)
+            late = LateSubmission(submission.job.id, submission.sender, submission.number, age_ms)
+            self._on_late(late)
+
+    def _compute_stamp_age_ms(self, submission: Submission) -> float | None:
+        stamp = submission.stamp
+        return None if stamp is None else self._leases.compute_age(stamp) * 1000
+
     async def _wait_for_answer(self, sender: Sender, submission: Submission) -> Answer:
         """Return the answer to a job, unless its sender leaves before."""
         answer: Answer = TimedOut("the entry host left")
@@ -235,10 +263,9 @@
     def _describe_sender(
         self, sender: Sender, submission: Submission, scope: anyio.CancelScope
     ) -> JobSender:
-        stamp = submission.stamp
         return JobSender(
             sender.host,
             submission.number,
-            None if stamp is None else self._leases.compute_age(stamp) * 1000,
+            self._compute_stamp_age_ms(submission),
             lambda: not scope.cancel_called and self._leases.holds(sender),
         )
--- a/packages/host/src/fireflybridge_host/_event_logger.py
+++ b/packages/host/src/fireflybridge_host/_event_logger.py
@@ -4,10 +4,11 @@
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from math import inf
 
 import structlog
 
-from fireflybridge_entry import Configuration, SentSubmission
+from fireflybridge_entry import Configuration, LateSubmission, SentSubmission
 from fireflybridge_execution import (
     EarlierRunAdopted,
     EarlierRunEnded,
@@ -196,6 +197,18 @@
             leaders=[[entry.address, entry.fence, entry.number] for entry in sent],
         )
 
+    def record_late_submission(self, late: LateSubmission) -> None:
+        """Log a submission whose sender may wait no longer, or that came after a pause."""
+        age_ms = late.stamp_age_ms
+        self._log.info(
+            "submission not taken",
+            event_id=7112,
+            job=late.job,
+            sender=late.sender,
+            submission=late.number,
+            stamp_age_ms=None if age_ms is None or age_ms == inf else round(age_ms),
+        )
+
     def record_store_error(self, error: StoreError) -> None:
         """Log and count a store call without a usable response."""
         self.counters.store_errors += 1
--- a/packages/host/src/fireflybridge_host/_host.py
+++ b/packages/host/src/fireflybridge_host/_host.py
@@ -107,7 +107,12 @@
             settings.name, self._scheduler, self._pauses, holder.incarnation, contacts
         )
         self._peer_service = PeerService(
-            peer, self._scheduler, self._leadership, self._pauses, crashes
+            peer,
+            self._scheduler,
+            self._leadership,
+            self._pauses,
+            crashes,
+            self._event_logger.record_late_submission,
         )
         monitor = LeaderMonitor(self._leadership, peer, crashes, contacts)
         links = LeaderLinks(holder, self._leadership, self._scheduler, clearances)
