--- a/features/clearance_orders.feature
+++ b/features/clearance_orders.feature
@@ -26,7 +26,7 @@
 
   Scenario: All tasks of a job that was left to another leader start once that one has no sender any more
     # Guards against a task whose queued start is dropped, and that never starts.
-    When a leader with a queued start yields a job, whose other sender then leaves
+    When a leader with a queued start leaves a job, whose other sender then leaves
     Then all tasks of the job run
 
   Scenario Outline: A run of the leader before is adopted <beside>
@@ -65,7 +65,7 @@
     When a job is sent to a leader 3 s after another one was killed
     Then it starts within 0.2 s
 
-  Scenario: A leader yields a job to leaders only
+  Scenario: A leader leaves a job to leaders only
     # Guards against runs that are stopped for a host which leads nothing any more.
     When a host whose term has ended asks a leader about a job that both have begun
     Then the leader's run goes on
--- a/features/clearances.feature
+++ b/features/clearances.feature
@@ -44,7 +44,7 @@
     When a leader is killed to which another one has left a job
     Then the second leader runs the job after the first run has ended
 
-  Scenario: A reply from before a job was yielded clears nothing
+  Scenario: A reply from before a job was deferred clears nothing
     # Guards against a late reply of a leader that has received the job since then.
     When a reply arrives after the job was left to the leader that sent it
     Then the job isn't cleared
--- a/features/steps/clearance_orders.py
+++ b/features/steps/clearance_orders.py
@@ -304,7 +304,7 @@
     return sent
 
 
-@when("a leader with a queued start yields a job, whose other sender then leaves")
+@when("a leader with a queued start leaves a job, whose other sender then leaves")
 def yield_queued(context: Context) -> None:
     job = make_long_job("d", 4)
     context.infos["u1"] = replace(context.infos["u1"], capacity=Resources(64000, 65536, 0))
--- a/features/steps/clearances.py
+++ b/features/steps/clearances.py
@@ -204,7 +204,7 @@
     context.clearances = JobClearances(own, lambda: terms)
     context.clearances.open(JOB.id)
     asked_s = time.monotonic()
-    context.clearances.yield_job(JOB.id, other)
+    context.clearances.defer_job(JOB.id, other)
     free = LeaderReport(other, {"z1": FIRST}, frozenset(), {JOB.id: NotHeld()})
     context.clearances.apply_report(free, asked_s)
     assert context.clearances.find_holder(JOB.id) == other
--- a/packages/clearances/src/fireflybridge_clearances/_job_clearances.py
+++ b/packages/clearances/src/fireflybridge_clearances/_job_clearances.py
@@ -23,7 +23,7 @@
 class _Clearance:
     """The failure domains whose leaders have cleared a job, with the fencing tokens of their terms.
 
-    ``holder`` is another leader that decides on the job. ``yielded_s`` is when this leader has left
+    ``holder`` is another leader that decides on the job. ``deferred_s`` is when this leader has left
     the job to one that asked; what that one had said before then doesn't count any more.
     What was asked before ``opened_s`` concerns an earlier submission of the job. ``listed_fences`` holds the domains of which it is certain that no run of the job is alive there.
     """
@@ -31,7 +31,7 @@
     fences: Mapping[str, int] = field(default_factory=dict)
     listed_fences: Mapping[str, int] = field(default_factory=dict)
     holder: Holder | None = None
-    yielded_s: Mapping[Holder, float] = field(default_factory=dict)
+    deferred_s: Mapping[Holder, float] = field(default_factory=dict)
     opened_s: float = 0.0
 
 
@@ -129,7 +129,7 @@
         """Return whether this leader takes a job that both have received and neither has begun."""
         return _rank(self._holder) < _rank(leader)
 
-    def yield_job(self, job: str, leader: Holder) -> None:
+    def defer_job(self, job: str, leader: Holder) -> None:
         """Leave a job to another leader, whose next report says whether it still holds it."""
         clearance = self._jobs[job]
         fences = {
@@ -137,8 +137,8 @@
             for domain, fence in clearance.fences.items()
             if domain not in {t.domain for t in self._list_other_terms() if t.holder == leader}
         }
-        yielded_s = {**clearance.yielded_s, leader: time.monotonic()}
-        self._jobs[job] = _Clearance(fences, {}, leader, yielded_s, clearance.opened_s)
+        deferred_s = {**clearance.deferred_s, leader: time.monotonic()}
+        self._jobs[job] = _Clearance(fences, {}, leader, deferred_s, clearance.opened_s)
         self._unsettled[job] = None
         self.asked.notify()
 
@@ -171,7 +171,7 @@
     def _concerns(self, report: LeaderReport, job: str, asked_s: float) -> bool:
         clearance = self._jobs.get(job)
         return clearance is not None and asked_s > max(
-            clearance.opened_s, clearance.yielded_s.get(report.leader, 0.0)
+            clearance.opened_s, clearance.deferred_s.get(report.leader, 0.0)
         )
 
     def _list_other_terms(self) -> list[Term]:
--- a/packages/execution/src/fireflybridge_execution/_job_holdings.py
+++ b/packages/execution/src/fireflybridge_execution/_job_holdings.py
@@ -63,7 +63,7 @@
         if active is not None and answer is None:
             if self._keeps(active, question, asker):
                 return Held()
-            self._gate.clearances.yield_job(question.job, asker)
+            self._gate.clearances.defer_job(question.job, asker)
             self._defer(active, asker)
         return MayRun() if self._may_run(question.job) else NotHeld()
 
--- a/packages/execution/src/fireflybridge_execution/_recent_answers.py
+++ b/packages/execution/src/fireflybridge_execution/_recent_answers.py
@@ -2,10 +2,9 @@
 
 import time
 
+from fireflybridge_execution._recent_jobs import RETENTION_S
 from fireflybridge_jobs import Answer, Failed, Succeeded
 
-RETENTION_S = 5.0  # a caller sends a job again 1.3 s after it has got no answer in time
-
 
 class RecentAnswers:
     """Remember for a while which jobs have succeeded or failed."""
