Let the end of a held connection come after what it sent, and make the late submissions' scenarios certain

A leader takes no job of a silent host, so a heartbeat has to arrive before the held submission; and it saw the end of the connection at the same moment in about half of the runs.

--- a/features/soak_checks.feature
+++ b/features/soak_checks.feature
@@ -29,8 +29,8 @@
       | h1 h4                  | h1 h4         |
       | none                   | h2 h5 h8      |
 
-  Scenario: A submission that was held back reaches the leader although its sender has ended
-    # Guards against a soak whose held submissions are lost with their sender.
+  Scenario: Requests that were held back reach the leader although their sender has ended
+    # Guards against a soak whose held requests are lost with their sender.
     Given hosts on a site that reach each other through links
     When a job is sent to a host that is killed while its requests to the leader are held back
-    Then the leader receives the job only after the requests are released
+    Then the leader receives what was sent only after the requests are released
--- a/features/steps/late_submissions.py
+++ b/features/steps/late_submissions.py
@@ -6,12 +6,12 @@
 from behave import given, then, when
 from behave.runner import Context
 from support.callers import RETRY_DELAY_S
-from support.linked_hosts import start_linked_hosts
+from support.linked_hosts import hold_requests, start_linked_hosts
 from support.placed_jobs import find_double_placements
 from support.processes import wait_until
 from support.site import find_overlaps
 
-SENT_S = 0.2  # the entry host has sent the job, and doesn't take its leader for lost yet
+SENT_S = 0.1  # the entry host has sent the job, and doesn't take its leader for lost yet
 FORMER_LEADER = "h1"
 ENTRY, NEIGHBOUR = "h5", "h2"
 """The two hosts of failure domain z2."""
@@ -48,9 +48,11 @@
 def hold_submission(context: Context) -> None:
     """Send a job, and hold it back with all else that the failure domain's hosts send."""
     deployment, context.job = context.deployment, uuid.uuid4().hex[:16]
-    for sender in (ENTRY, NEIGHBOUR):
-        deployment.peer_links.hold(sender, FORMER_LEADER)
-    context.answer = deployment.submit_later(ENTRY, 1, context.job)
+    deployment.peer_links.hold(NEIGHBOUR, FORMER_LEADER)
+    hold_requests(deployment, ENTRY, FORMER_LEADER)
+    connection = deployment.connect(ENTRY)
+    deployment.send(connection, 1, context.job)
+    context.answer = deployment.receive_later(connection)
     time.sleep(SENT_S)
 
 
--- a/features/support/peer_links.py
+++ b/features/support/peer_links.py
@@ -8,6 +8,7 @@
 from fireflybridge_standins.linked_host import LINKS_VARIABLE
 from support.proxy import Proxy
 
+LATE_END = {"kind": "delay", "direction": "forward", "delay_ms": 30}
 HOLD = {"kind": "hold", "direction": "forward"}
 
 
@@ -34,11 +35,14 @@
         self.proxy.set_faults(name_link(sender, receiver), faults=[HOLD])
 
     def release(self, sender: str, receiver: str) -> None:
-        """Deliver what was held."""
-        self.proxy.clear_faults(name_link(sender, receiver))
+        """Deliver what was held; an end of the connection that follows it comes a little later.
+
+        If both came at once, the receiver would often see the end before it handles the request.
+        """
+        self.proxy.set_faults(name_link(sender, receiver), faults=[LATE_END])
 
     def clear(self) -> None:
-        """Deliver what was held on any link."""
+        """Deliver what was held on any link, and delay nothing any more."""
         self.proxy.clear_faults(*itertools.starmap(name_link, self.links))
 
 
