--- a/features/steps/clearance_orders.py
+++ b/features/steps/clearance_orders.py
@@ -273,7 +273,7 @@
         group.start_soon(first.submit, JOB)
         await wait_until(lambda: has_run(context, "u0", JOB))
         former = Holder("a-former", "1", UNUSED_ADDRESS)
-        first.scheduler.describe_jobs(
+        first.scheduler.answer_questions(
             first.holder, former, (JobQuestion(JOB.id, begun=True, marked=False),)
         )
         await anyio.sleep(0.1)
--- a/features/support/site.py
+++ b/features/support/site.py
@@ -190,7 +190,7 @@
     ) -> Answer:
         """Submit a job and return its answer, or disconnect after ``timeout_s``."""
         url = f"http://{self.find_ip(host)}:8161/orders/{job or uuid.uuid4().hex[:16]}"
-        body = self._describe_job(tasks, spec)
+        body = self._answer_question(tasks, spec)
         try:
             response = httpx.post(url, json=body, headers=HEADERS, timeout=timeout_s)
         except httpx.HTTPError:
@@ -198,7 +198,7 @@
         state = response.json()["state"] if response.status_code == 200 else ""
         return Answer(response.status_code, state, response.headers.get("retry-after", ""))
 
-    def _describe_job(self, tasks: int, spec: str) -> dict[str, object]:
+    def _answer_question(self, tasks: int, spec: str) -> dict[str, object]:
         step = {"count": tasks, **TASK, "estimate_ms": self.estimate_ms}
         return {"spec": spec, "best_effort": True, "steps": [step]}
 
@@ -210,7 +210,7 @@
 
     def send(self, connection: HTTPConnection, tasks: int, job: str) -> None:
         """Send a job over a caller's connection without waiting for the answer."""
-        body = json.dumps(self._describe_job(tasks, "work"))
+        body = json.dumps(self._answer_question(tasks, "work"))
         connection.request("POST", f"/orders/{job}", body, HEADERS)
 
     def receive_later(self, connection: HTTPConnection) -> "Future[Answer]":
--- a/packages/clearances/src/fireflybridge_clearances/_job_clearances.py
+++ b/packages/clearances/src/fireflybridge_clearances/_job_clearances.py
@@ -40,9 +40,9 @@
     """Tell whether every other leader has cleared a job for this one.
 
     A caller may send a job to the leaders of several failure domains. Each asks all others before
-    the first start, and once more when a failure domain has got another leader. Of two leaders, at
-    least the one with the later term knows the other, and its question names its terms, so one of
-    them learns of the other's job. A leader that hasn't replied for ``UNREACHABLE_S`` is passed
+    the first start, and once more when a failure domain has got another leader. Of two leaders with
+    terms in the log, at least the one with the later term knows the other, and its question names
+    its terms, so one of them learns of the other's job. A leader that hasn't replied for ``UNREACHABLE_S`` is passed
     over, so that a failure domain that is cut off goes on serving.
     """
 
--- a/packages/entry/src/fireflybridge_entry/_job_scheduler.py
+++ b/packages/entry/src/fireflybridge_entry/_job_scheduler.py
@@ -30,10 +30,10 @@
         """Return the jobs that another leader is to be asked for now."""
         ...
 
-    def describe_jobs(
+    def answer_questions(
         self, own: Holder, asker: Holder, questions: Collection[JobQuestion]
     ) -> LeaderReport:
-        """Return what this leader knows of jobs that another one has received as well."""
+        """Return what is known of jobs, and leave to another leader those that it may start."""
         ...
 
     def apply_report(self, report: LeaderReport, asked_s: float) -> None:
--- a/packages/entry/src/fireflybridge_entry/_peer_service.py
+++ b/packages/entry/src/fireflybridge_entry/_peer_service.py
@@ -202,7 +202,7 @@
         except CodecError:
             return Response(400)
         self._leadership.add_terms(question.terms)
-        report = self._scheduler.describe_jobs(self._host.holder, question.asker, question.jobs)
+        report = self._scheduler.answer_questions(self._host.holder, question.asker, question.jobs)
         terms = tuple(self._leadership.terms.values())
         return encode_question_reply(QuestionReply(terms, report))
 
--- a/packages/execution/src/fireflybridge_execution/_job_holdings.py
+++ b/packages/execution/src/fireflybridge_execution/_job_holdings.py
@@ -46,16 +46,16 @@
     def _make_question(self, active: ActiveJob) -> JobQuestion:
         return JobQuestion(active.job.id, active.has_begun, active.earlier is not None)
 
-    def describe(
+    def answer_questions(
         self, own: Holder, asker: Holder, questions: Collection[JobQuestion]
     ) -> LeaderReport:
-        """Return what is known of jobs to another leader that has received them."""
-        holdings = {question.job: self._describe_job(question, asker) for question in questions}
+        """Return what is known of jobs, and leave to another leader those that it may start."""
+        holdings = {question.job: self._answer_question(question, asker) for question in questions}
         is_marked = any(question.marked for question in questions)
         listed = self._sessions.list_known_domains() if is_marked else frozenset()
         return LeaderReport(own, self._sessions.fences, listed, holdings)
 
-    def _describe_job(self, question: JobQuestion, asker: Holder) -> Holding:
+    def _answer_question(self, question: JobQuestion, asker: Holder) -> Holding:
         active = self._jobs.get(question.job)
         answer = self.answers.find(question.job) if active is None else active.answer
         if isinstance(answer, Succeeded | Failed):
--- a/packages/execution/src/fireflybridge_execution/_scheduler.py
+++ b/packages/execution/src/fireflybridge_execution/_scheduler.py
@@ -165,11 +165,11 @@
         """Return the jobs that another leader is to be asked for now."""
         return self._holdings.list_questions(leader)
 
-    def describe_jobs(
+    def answer_questions(
         self, own: Holder, asker: Holder, questions: Collection[JobQuestion]
     ) -> LeaderReport:
-        """Return what this leader knows of jobs that another one has received as well."""
-        return self._holdings.describe(own, asker, questions)
+        """Return what is known of jobs, and leave to another leader those that it may start."""
+        return self._holdings.answer_questions(own, asker, questions)
 
     def apply_report(self, report: LeaderReport, asked_s: float) -> None:
         """Apply what another leader says in reply to a question sent at a monotonic time."""
