--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -175,6 +175,11 @@
     When the host replaces the leader
     Then it leads its failure domain without probing the lost leader
 
+  Scenario: A leader that is replaced while it waits to hand over follows the next leader at once
+    # Guards against jobs that wait for a leader to which this host sends no heartbeats yet.
+    When a host is replaced while it waits to hand over to a stronger one
+    Then it sends heartbeats to the next leader within 0.3 s
+
   Scenario: A connection that the peer closes immediately is a failed exchange
     # Guards against a host that exits with an AttributeError (found under load, with 33 upstreams in each zone).
     When a request is sent on a connection whose socket is dropped as soon as it is open
--- a/features/steps/leader_election.py
+++ b/features/steps/leader_election.py
@@ -7,9 +7,9 @@
 from behave import given, then, when
 from behave.runner import Context
 from support.terms import HangingPollLog
-from support.upstreams import make_job
+from support.upstreams import make_job, wait_until
 
-from fireflybridge_entry import JobSubmitter, LeaderLoss, LocalLeader, RemoteLeader
+from fireflybridge_entry import JobSubmitter, LeaderLoss, LocalLeader, Peer, RemoteLeader
 from fireflybridge_host._election import LeaderElection
 from fireflybridge_host._event_logger import EventLogger
 from fireflybridge_http import Request, Response
@@ -21,6 +21,7 @@
 LOST = Holder("h1", "1", "127.0.0.1:1")
 OTHER = Holder("h3", "1", "127.0.0.1:3")
 TIMEOUT_S = 10.0
+FOLLOWING_S = 0.3
 GAINED_OFFSET = 3
 # An entry host submits a moved job again after this time, and a host that leads nothing gives it up
 # after twice as long.
@@ -135,7 +136,11 @@
 
 
 def make_election(
-    leadership: Leadership, monitor: object, submitter: object, scheduler: object
+    leadership: Leadership,
+    monitor: object,
+    submitter: object,
+    scheduler: object,
+    strongest: Peer | None = None,
 ) -> LeaderElection:
     return LeaderElection(
         SimpleNamespace(
@@ -150,7 +155,7 @@
         submitter,
         scheduler,
         SimpleNamespace(set_leading=ignore, refresh_soon=ignore, note_silence=ignore),
-        SimpleNamespace(find_strongest=ignore),
+        SimpleNamespace(find_strongest=lambda _domains: strongest),
         EventLogger(),
     )
 
@@ -247,3 +252,50 @@
 def check_not_local(context: Context) -> None:
     assert isinstance(context.leader, RemoteLeader), context.leader
     assert context.leader.address == OTHER.address, context.leader
+
+
+class WatchingMonitor(SilentLeaderMonitor):
+    """A monitor that notes which leaders it watches."""
+
+    def __init__(self) -> None:
+        self.watched: list[Holder] = []
+
+    async def watch(self, term: Term, duration_s: float | None = None) -> LeaderLoss:
+        """Note the leader, which is never lost."""
+        self.watched.append(term.holder)
+        await anyio.sleep_forever()
+        raise AssertionError
+
+
+@when("a host is replaced while it waits to hand over to a stronger one")
+def replace_waiting_leader(context: Context) -> None:
+    anyio.run(lose_term_before_hand_over, context)
+
+
+async def lose_term_before_hand_over(context: Context) -> None:
+    """Lead, find a stronger host, and learn 0.1 s later that it leads already."""
+    log = HangingPollLog()
+    await log.append(("z2",), OWN, 0)
+    leadership = Leadership(log, ignore)
+    monitor = WatchingMonitor()
+    scheduler = SimpleNamespace(lead=ignore, upstream_count=3, is_superseded=lambda _domain: False)
+    submitter = SimpleNamespace(set_leader=ignore, renew_leader=ignore)
+    stronger = Peer(OTHER, "z2", 4.0)
+    election = make_election(leadership, monitor, submitter, scheduler, stronger)
+    async with anyio.create_task_group() as group:
+        group.start_soon(election.apply_terms)
+        group.start_soon(election.run)
+        group.start_soon(leadership.follow)
+        await wait_until(lambda: election.leads)
+        await anyio.sleep(0.1)
+        assert not monitor.watched, monitor.watched
+        leadership.add_terms((Term("z2", OTHER, compute_fence(1)),))
+        with anyio.move_on_after(FOLLOWING_S):
+            await wait_until(lambda: monitor.watched)
+        context.watched = list(monitor.watched)
+        group.cancel_scope.cancel()
+
+
+@then("it sends heartbeats to the next leader within 0.3 s")
+def check_watched(context: Context) -> None:
+    assert context.watched == [OTHER], context.watched
--- a/packages/host/src/fireflybridge_host/_election.py
+++ b/packages/host/src/fireflybridge_host/_election.py
@@ -8,6 +8,7 @@
 
 from fireflybridge_entry import (
     JobSubmitter,
+    LeaderLoss,
     LeaderMonitor,
     LocalLeader,
     Peer,
@@ -198,9 +199,14 @@
 
         It is that of a provisional leader, which gets time to record its term if it is still alive.
         """
-        await anyio.sleep(STABLE_PERIOD_S)
+        await self._sleep_while_leading(STABLE_PERIOD_S)
         domains = self._find_refused_domains()
-        if domains and not self._draining and await self._claim(domains) is ClaimResult.WON:
+        if (
+            self._leads_own_domain
+            and domains
+            and not self._draining
+            and await self._claim(domains) is ClaimResult.WON
+        ):
             self._next_recorded_renewal_s = time.monotonic() + RECORDED_RENEWAL_INTERVAL_S
 
     async def _transfer_other_domains(self) -> None:
@@ -222,8 +228,10 @@
         if stronger is None:
             await self._leadership.changed.wait(RECHECK_INTERVAL_S)
             return
-        await anyio.sleep(STABLE_PERIOD_S)
-        if self._find_stronger() == stronger and not self._draining:
+        await self._sleep_while_leading(STABLE_PERIOD_S)
+        if not self._leads_own_domain or self._draining:
+            return
+        if self._find_stronger() == stronger:
             await self._transfer(self._led_domains, stronger.holder)
 
     def _find_stronger(self) -> Peer | None:
@@ -250,12 +258,37 @@
         A single leader sees all free capacity, so jobs with many parallel tasks wait less than
         under several leaders.
         """
-        loss = await self._monitor.watch(primary, STABLE_PERIOD_S)
+        loss: LeaderLoss | None = None
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._cancel_once_replaced, group.cancel_scope)
+            loss = await self._monitor.watch(primary, STABLE_PERIOD_S)
+            group.cancel_scope.cancel()
+        if not self._leads_own_domain:
+            return
         if loss is not None:
             await self._leadership.changed.wait(RECHECK_INTERVAL_S)
         elif self._leadership.terms.get(primary.domain) == primary and not self._draining:
             await self._transfer(self._led_domains, primary.holder)
 
+    @property
+    def _leads_own_domain(self) -> bool:
+        term = self._leadership.terms.get(self._domain)
+        return term is not None and term.holder == self._holder
+
+    async def _sleep_while_leading(self, duration_s: float) -> None:
+        """Sleep, but not beyond the loss of this host's failure domain.
+
+        Jobs are only submitted to the next leader once it replies to heartbeats.
+        """
+        with anyio.move_on_after(duration_s):
+            while self._leads_own_domain:
+                await self._leadership.changed.wait()
+
+    async def _cancel_once_replaced(self, scope: anyio.CancelScope) -> None:
+        while self._leads_own_domain:
+            await self._leadership.changed.wait()
+        scope.cancel()
+
     async def _follow(self, term: Term) -> None:
         holder = term.holder
         if holder.host == self._holder.host:
