--- a/packages/execution/src/fireflybridge_execution/_waiting_senders.py
+++ b/packages/execution/src/fireflybridge_execution/_waiting_senders.py
@@ -11,10 +11,11 @@
 
     def __init__(self) -> None:
         self._senders: dict[str, list[JobSender]] = {}
+        """The senders of each job, one for each of its submissions."""
 
     @contextmanager
     def add(self, job: str, sender: JobSender) -> Iterator[None]:
-        """Count a sender of a job until the context ends."""
+        """Count a submission of a job until the context ends."""
         senders = self._senders.setdefault(job, [])
         senders.append(sender)
         try:
