--- a/features/soak.feature
+++ b/features/soak.feature
@@ -1,7 +1,7 @@
 Feature: Hosts keep their guarantees under random faults
   Real hosts run on the stand-in for the users' platform. They are paused, stopped, killed and
-  restarted, a proxy disturbs their connections to the store and to the upstreams, and upstreams and
-  the log misbehave. `make soak SEED=... SECONDS=...` runs longer.
+  restarted, a proxy disturbs their connections to the store and to the upstreams and holds back
+  what they send to each other, and upstreams and the log misbehave. `make soak SEED=... SECONDS=...` runs longer.
 
   Scenario: A short soak under a fixed seed finds nothing
     When the soak runs with seed 20404 for 20 s
--- a/standins/src/fireflybridge_standins/proxy/_relay.py
+++ b/standins/src/fireflybridge_standins/proxy/_relay.py
@@ -109,7 +109,7 @@
 ) -> None:
     """Receive into the queue until its oldest chunk is due."""
     while queue.next_due > time.monotonic():
-        wait_s = queue.next_due - time.monotonic()
+        wait_s = max(queue.next_due - time.monotonic(), 0.0)
         if not queue.accepts_data:
             await anyio.sleep(wait_s)
             continue
