--- a/features/steps/clearance_orders.py
+++ b/features/steps/clearance_orders.py
@@ -11,10 +11,10 @@
 from behave.runner import Context
 from support.entry_pair import DOMAIN, FENCE, run_hosts
 from support.leased_upstreams import LeasedConnection
-from support.linked_leaders import UNUSED_ADDRESS, LinkedLeader, run_linked
+from support.linked_leaders import FIRST, UNUSED_ADDRESS, LinkedLeader, begin, run_linked
 from support.relay import Traffic
 from support.shared_leaders import has_run
-from support.upstreams import make_job, wait_until
+from support.upstreams import make_long_job, wait_until
 
 from fireflybridge_clearances import Held, JobClearances, JobQuestion, LeaderReport, NotHeld
 from fireflybridge_entry import LeaderLinks, RemoteLeader
@@ -23,7 +23,7 @@
 from fireflybridge_jobs import EarlierRuns, Job, Resources, TaskId
 from fireflybridge_leadership import Holder, Leadership, Term
 
-EARLIER, FIRST, SECOND = 500, 1000, 2000
+EARLIER, SECOND = 500, 2000
 OBSERVED_S = 1.0
 SLOW_REPLY_S = 0.3
 PASSED_OVER_S = 2.5
@@ -31,22 +31,9 @@
 START_DELAY_S = 0.1
 
 
-def make_long_job(name: str, tasks: int = 1) -> Job:
-    job = make_job(name, tasks)
-    return replace(job, steps=tuple(replace(s, estimate_ms=10000.0) for s in job.steps))
-
-
 JOB = make_long_job("a")
 
 
-async def begin(context: Context, first: LinkedLeader, second: LinkedLeader) -> None:
-    terms = (*first.begin_terms(FIRST, "z1"), *second.begin_terms(FIRST, "z2"))
-    for leader, upstream in ((first, "u0"), (second, "u1")):
-        leader.learn(*terms)
-        leader.see(context.infos, *context.infos)
-        await wait_until(lambda leader=leader, upstream=upstream: leader.has_listed == {upstream})
-
-
 def delay_replies(leader: LinkedLeader, delay: Any) -> None:
     """Let a leader handle each question at once and send the reply after a delay."""
     handle = leader._service.handle
--- a/features/steps/clearances.py
+++ b/features/steps/clearances.py
@@ -1,7 +1,6 @@
 """Steps on jobs that reach the leaders of two failure domains."""
 
 import time
-from dataclasses import replace
 from unittest import mock
 
 import anyio
@@ -9,9 +8,9 @@
 from behave import then, when
 from behave.runner import Context
 from support.leased_upstreams import LeasedUpstream
-from support.linked_leaders import LinkedLeader, run_linked
+from support.linked_leaders import FIRST, LinkedLeader, begin, run_linked
 from support.shared_leaders import has_run
-from support.upstreams import make_job, wait_until
+from support.upstreams import make_long_job, wait_until
 
 from fireflybridge_clearances import JobClearances, LeaderReport, NotHeld
 from fireflybridge_entry import _leader_links
@@ -19,31 +18,16 @@
 from fireflybridge_jobs import EarlierRuns, Job, RunOutcome, Succeeded
 from fireflybridge_leadership import Holder, Term
 
-FIRST, SECOND = 1000, 2000
-"""Fencing tokens of successive terms."""
+SECOND = 2000
+"""Fencing token of a term after ``FIRST``."""
 OBSERVED_S = 1.0
 SILENCE_S = 1.0
 LONG_RETRY_S = 3.0
-ESTIMATE_MS = 10000.0  # no run is slow enough to be moved
-
-
-def make_long_job(name: str) -> Job:
-    job = make_job(name, 1)
-    return replace(job, steps=tuple(replace(s, estimate_ms=ESTIMATE_MS) for s in job.steps))
 
 
 JOB = make_long_job("a")
 
 
-async def begin(context: Context, first: LinkedLeader, second: LinkedLeader) -> None:
-    """Let each leader lead one failure domain, know the other and list its upstream."""
-    terms = (*first.begin_terms(FIRST, "z1"), *second.begin_terms(FIRST, "z2"))
-    for leader, upstream in ((first, "u0"), (second, "u1")):
-        leader.learn(*terms)
-        leader.see(context.infos, *context.infos)
-        await wait_until(lambda leader=leader, upstream=upstream: leader.has_listed == {upstream})
-
-
 def runs_anywhere(context: Context, job: Job) -> bool:
     return any(has_run(context, name, job) for name in context.infos)
 
--- a/features/steps/second_runs.py
+++ b/features/steps/second_runs.py
@@ -10,22 +10,12 @@
 from support.leased_upstreams import LeasedUpstream
 from support.linked_leaders import LinkedLeader, run_linked
 from support.shared_leaders import Leader, has_run, run_steps, start_on
-from support.upstreams import describe_upstreams, make_job, wait_until
+from support.upstreams import describe_upstreams, make_job, make_long_job, wait_until
 
 from fireflybridge_entry import Peer
-from fireflybridge_jobs import EarlierRuns, Job, Moved, TaskId
+from fireflybridge_jobs import EarlierRuns, Moved, TaskId
 from fireflybridge_leadership import Holder
 
-ESTIMATE_MS = 10000.0  # no run is slow enough to be moved
-
-
-def make_long_job(name: str, tasks: int) -> Job:
-    """Return a job none of whose runs is moved for being slow."""
-    job = make_job(name, tasks)
-    steps = tuple(replace(step, estimate_ms=ESTIMATE_MS) for step in job.steps)
-    return replace(job, steps=steps)
-
-
 JOB = make_long_job("a", 1)
 OTHER_JOB = make_long_job("b", 1)
 FIRST, SECOND, THIRD = 1000, 2000, 3000
--- a/features/support/linked_leaders.py
+++ b/features/support/linked_leaders.py
@@ -15,8 +15,10 @@
 from fireflybridge_leadership import Holder, Leadership, Term
 from support.leased_upstreams import find_overlaps, list_spans
 from support.shared_leaders import Leader
+from support.upstreams import wait_until
 
 UNUSED_ADDRESS = "127.0.0.1:9"
+FIRST = 1000  # fencing token of the first terms
 
 
 class LinkedLeader(Leader):
@@ -114,3 +116,12 @@
             await play(first, second, group)
 
     anyio.run(run)
+
+
+async def begin(context: Context, first: LinkedLeader, second: LinkedLeader) -> None:
+    """Let each leader lead one failure domain, know the other and list its upstream."""
+    terms = (*first.begin_terms(FIRST, "z1"), *second.begin_terms(FIRST, "z2"))
+    for leader, upstream in ((first, "u0"), (second, "u1")):
+        leader.learn(*terms)
+        leader.see(context.infos, *context.infos)
+        await wait_until(lambda leader=leader, upstream=upstream: leader.has_listed == {upstream})
--- a/features/support/upstreams.py
+++ b/features/support/upstreams.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 
 import anyio
 
@@ -23,6 +24,7 @@
 CAPACITY = Resources(16000, 65536, 0)
 NEEDS = Resources(6800, 64, 0)
 WAIT_LIMIT_S = 5.0
+LONG_ESTIMATE_MS = 10000.0  # no run is slow enough to be moved
 SILENCE_TIMEOUT_S = 0.1
 REFUSAL_S = 0.005
 
@@ -144,3 +146,10 @@
     with anyio.fail_after(WAIT_LIMIT_S):
         while not condition():
             await anyio.sleep(0.01)
+
+
+def make_long_job(name: str, tasks: int = 1) -> Job:
+    """Return a job none of whose runs is moved for being slow."""
+    job = make_job(name, tasks)
+    steps = tuple(replace(step, estimate_ms=LONG_ESTIMATE_MS) for step in job.steps)
+    return replace(job, steps=steps)
