Count a leader's passes and questions, and reproduce what a silent leader costs the others

Starts of all failure domains wait for one silent leader, and each event looks at every waiting job. 7113 counts placement passes and questions each second, 7104 says whether a job was cleared.

--- /dev/null
+++ b/features/steps/silent_leaders.py
@@ -0,0 +1,115 @@
+"""Steps on leaders that fall silent, and what that costs the other failure domains."""
+
+import time
+from dataclasses import replace
+
+import anyio
+from anyio.abc import TaskGroup
+from behave import then, when
+from behave.runner import Context
+from support.linked_leaders import FIRST, LinkedLeader, begin, run_linked
+from support.shared_leaders import has_run
+from support.upstreams import make_long_job, wait_until
+
+from fireflybridge_entry._question_codec import decode_question
+from fireflybridge_http import Request, Response, Server, ServerLimits
+from fireflybridge_jobs import Job, Resources
+from fireflybridge_leadership import Holder, Term
+
+JOB = make_long_job("a")
+SETTLED_S = 0.4
+"""The leaders have exchanged reports by then."""
+CHANGE_INTERVAL_S = 0.5
+CHANGES = 8
+SUBMISSION_INTERVAL_S = 0.2
+OBSERVED_S = 0.5
+
+
+async def measure_start(context: Context, leader: LinkedLeader, group: TaskGroup, job: Job) -> None:
+    """Append the seconds until a job's start, or until the wait for it ends."""
+    began_s = time.monotonic()
+    group.start_soon(leader.submit_new, job)
+    with anyio.move_on_after(2.0):
+        await wait_until(lambda: has_run(context, "u0", job))
+    context.waits_s.append(time.monotonic() - began_s)
+
+
+@when("a job is sent to a leader while another one has just fallen silent")
+def submit_beside_silent(context: Context) -> None:
+    async def play(first: LinkedLeader, second: LinkedLeader, group: TaskGroup) -> None:
+        await begin(context, first, second)
+        await anyio.sleep(SETTLED_S)
+        second.hold_requests = anyio.Event()
+        context.waits_s = []
+        await measure_start(context, first, group, JOB)
+        context.started_after_s = context.waits_s[0]
+
+    run_linked(context, play)
+
+
+@when(
+    "a job is sent to a leader each 0.2 s while another failure domain gets a silent leader each 0.5 s"
+)
+def submit_beside_changes(context: Context) -> None:
+    context.infos["u0"] = replace(context.infos["u0"], capacity=Resources(640000, 655360, 0))
+
+    async def play(first: LinkedLeader, second: LinkedLeader, group: TaskGroup) -> None:
+        await begin(context, first, second)
+        await anyio.sleep(SETTLED_S)
+        second.hold_requests = anyio.Event()
+        context.waits_s = []
+        silent = Server("127.0.0.1:0", _never_answer, ServerLimits())
+        address = await group.start(silent.serve, group)
+
+        async def change() -> None:
+            for number in range(CHANGES):
+                await anyio.sleep(CHANGE_INTERVAL_S)
+                first.learn(Term("z2", Holder(f"next-{number}", "1", address), FIRST + number + 1))
+
+        async with anyio.create_task_group() as measurements:
+            measurements.start_soon(change)
+            for number in range(round(CHANGES * CHANGE_INTERVAL_S / SUBMISSION_INTERVAL_S)):
+                job = make_long_job(f"j{number}")
+                measurements.start_soon(measure_start, context, first, group, job)
+                await anyio.sleep(SUBMISSION_INTERVAL_S)
+
+    run_linked(context, play)
+
+
+async def _never_answer(_request: Request) -> Response:
+    await anyio.sleep_forever()
+    raise AssertionError
+
+
+@then("each of the jobs starts within {limit_s:g} s, and the last {count:d} within {last_s:g} s")
+def check_waits(context: Context, limit_s: float, count: int, last_s: float) -> None:
+    assert max(context.waits_s) < limit_s, context.waits_s
+    assert max(context.waits_s[-count:]) < last_s, context.waits_s
+
+
+@when("a failure domain gets a new leader while 400 jobs wait at another one")
+def change_beside_waiting(context: Context) -> None:
+    async def play(first: LinkedLeader, second: LinkedLeader, group: TaskGroup) -> None:
+        await begin(context, first, second)
+        await anyio.sleep(SETTLED_S)
+        for number in range(400):
+            group.start_soon(first.submit_new, make_long_job(f"j{number}"))
+        await anyio.sleep(SETTLED_S)
+        context.questions = 0
+
+        async def count_questions(request: Request) -> Response:
+            if request.path.endswith("questions"):
+                context.questions += len(decode_question(request.body).jobs)
+            return Response(500)
+
+        successor = Server("127.0.0.1:0", count_questions, ServerLimits())
+        address = await group.start(successor.serve, group)
+        first.learn(Term("z2", Holder("third", "1", address), FIRST + 1))
+        await anyio.sleep(OBSERVED_S)
+
+    run_linked(context, play)
+
+
+@then("the new leader gets at most {limit:d} questions about jobs in 0.5 s")
+def check_questions(context: Context, limit: int) -> None:
+    assert context.questions <= limit, context.questions
--- a/features/support/shared_leaders.py
+++ b/features/support/shared_leaders.py
@@ -34,6 +34,10 @@
         self.answers.append(await self.scheduler.submit(job, 0.0, earlier))
         self.answered_s.append(time.monotonic())
 
+    async def submit_new(self, job: Job) -> None:
+        """Submit a job that its caller has sent just now for the first time."""
+        await self.submit(job)
+
     @property
     def has_listed(self) -> set[str]:
         """Return the upstreams that have listed their runs."""
--- a/packages/execution/src/fireflybridge_execution/_events.py
+++ b/packages/execution/src/fireflybridge_execution/_events.py
@@ -148,6 +148,24 @@
     waited_ms: float | None
     failed_runs: int
     senders: tuple[JobSender, ...]
+    is_cleared: bool
+    """Whether every other leader had cleared it, or was passed over."""
+
+
+@dataclass(frozen=True, slots=True)
+class LeaderLoad:
+    """What a leader has had to do since the last event of this kind, about a second ago.
+
+    ``passes`` counts the attempts to place waiting jobs, of which the longest took
+    ``longest_pass_ms``. ``asked`` and ``answered`` count the questions about jobs to and from other
+    leaders.
+    """
+
+    waiting_jobs: int
+    passes: int
+    longest_pass_ms: float
+    asked: int
+    answered: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -209,6 +227,7 @@
     | EarlierRunEnded
     | RunMoved
     | JobEnded
+    | LeaderLoad
     | UpstreamSynced
     | UpstreamEjected
     | UpstreamCrashed
--- a/packages/execution/src/fireflybridge_execution/_reports.py
+++ b/packages/execution/src/fireflybridge_execution/_reports.py
@@ -56,7 +56,7 @@
         """Report a further submission of a job."""
         self._on_event(SubmissionJoined(active.job.id, sender, earlier))
 
-    def job_ended(self, active: ActiveJob, answer: Answer) -> None:
+    def job_ended(self, active: ActiveJob, answer: Answer, *, is_cleared: bool) -> None:
         """Report the answer to a job."""
         first_placed_s = active.first_placed_s
         self._on_event(
@@ -68,6 +68,7 @@
                 None if first_placed_s is None else (first_placed_s - active.received_s) * 1000,
                 active.failed_runs,
                 tuple(active.ended_senders),
+                is_cleared,
             )
         )
 
--- a/packages/execution/src/fireflybridge_execution/_scheduler.py
+++ b/packages/execution/src/fireflybridge_execution/_scheduler.py
@@ -25,6 +25,7 @@
 )
 from fireflybridge_execution._job_holdings import JobHoldings
 from fireflybridge_execution._job_runs import JobRuns
+from fireflybridge_execution._load_meter import LoadMeter
 from fireflybridge_jobs import (
     LOCAL_SENDER,
     Answer,
@@ -45,6 +46,7 @@
 )
 
 PLACEMENT_RETRY_S = 0.02  # notices the end of ejections and back-offs while jobs wait
+LOAD_INTERVAL_S = 1.0
 MAX_BACKFILL_ATTEMPTS = 8  # a placement pass ends after this many jobs that don't fit
 
 
@@ -62,6 +64,7 @@
     ) -> None:
         """Set the callbacks; without ``clearances`` there is no other leader."""
         super().__init__(connector, on_event, on_superseded, pauses, crashes, clearances)
+        self._load = LoadMeter()
         self._holdings = JobHoldings(self._jobs, self._sessions, self._gate, self._defer)
 
     @property
@@ -92,12 +95,24 @@
         """Run the sessions and retry the placement of waiting jobs until cancelled."""
         async with anyio.create_task_group() as group:
             self._sessions.start(group)
+            group.start_soon(self._report_load)
             while True:
                 await self._queue.wait_not_empty()
                 await anyio.sleep(PLACEMENT_RETRY_S)
-                self._abandon_late_jobs()
-                self._place()
-                self._refuse_unstarted_jobs()
+                self.review_waiting()
+
+    def review_waiting(self) -> None:
+        """Place, abandon or refuse waiting jobs for which the time has come."""
+        self._abandon_late_jobs()
+        self._place()
+        self._refuse_unstarted_jobs()
+
+    async def _report_load(self) -> None:
+        while True:
+            await anyio.sleep(LOAD_INTERVAL_S)
+            load = self._load.read(len(self._queue))
+            if self._sessions.fences:
+                self._on_event(load)
 
     def lead(self, fences: Mapping[str, int]) -> None:
         """Set the failure domains that this host leads, each with its fencing token.
@@ -169,10 +184,12 @@
         self, own: Holder, asker: Holder, questions: Collection[JobQuestion]
     ) -> LeaderReport:
         """Return what is known of jobs, and leave to another leader those that it may start."""
+        self._load.answered += len(questions)
         return self._holdings.answer_questions(own, asker, questions)
 
     def apply_report(self, report: LeaderReport, asked_s: float) -> None:
         """Apply what another leader says in reply to a question sent at a monotonic time."""
+        self._load.asked += len(report.holdings)
         for job in self._clearances.apply_report(report, asked_s):
             active = self._jobs[job]
             match report.holdings[job]:
@@ -274,13 +291,14 @@
         if self._jobs.get(active.job.id) is not active:
             return
         del self._jobs[active.job.id]
+        is_cleared = self._clearances.is_cleared(active.job.id)
         self._clearances.close(active.job.id)
         self._queue.remove(active)
         answer = active.set_answer(TimedOut("caller left"))
         if not isinstance(answer, Moved):
             self._stop_runs(active)
         self._holdings.answers.record(active.job.id, answer)
-        self._reports.job_ended(active, answer)
+        self._reports.job_ended(active, answer, is_cleared=is_cleared)
 
     def _learn_earlier_runs(self, active: ActiveJob, earlier: EarlierRuns) -> None:
         active.learn_earlier_runs(earlier)
@@ -294,8 +312,11 @@
     def _place(self) -> None:
         """Place waiting tasks on the free capacity; called whenever that may have changed."""
         now_s = time.monotonic()
-        if not len(self._queue) or not self._gate.knows_runs(now_s):
-            return
+        if len(self._queue) and self._gate.knows_runs(now_s):
+            with self._load.measure_pass():
+                self._place_waiting(now_s)
+
+    def _place_waiting(self, now_s: float) -> None:
         waiting = self._queue.list_first()
         attempts_left = MAX_BACKFILL_ATTEMPTS
         for position, active in enumerate(waiting):
--- a/packages/host/src/fireflybridge_host/_event_logger.py
+++ b/packages/host/src/fireflybridge_host/_event_logger.py
@@ -16,6 +16,7 @@
     JobDeferred,
     JobEnded,
     JobReceived,
+    LeaderLoad,
     RunKey,
     RunMoved,
     RunNotCompleted,
@@ -143,6 +144,16 @@
                 self._record_move(event)
             case JobEnded():
                 self._record_end(event)
+            case LeaderLoad():
+                self._log.info(
+                    "leader load",
+                    event_id=7113,
+                    waiting_jobs=event.waiting_jobs,
+                    passes=event.passes,
+                    longest_pass_ms=round(event.longest_pass_ms, 1),
+                    asked=event.asked,
+                    answered=event.answered,
+                )
             case UpstreamSynced():
                 self._log.info(
                     "upstream synced",
@@ -340,6 +351,7 @@
             waited_ms=None if event.waited_ms is None else round(event.waited_ms),
             failed_runs=event.failed_runs,
             senders=[[sender.host, sender.number] for sender in event.senders],
+            cleared=event.is_cleared,
         )
 
 
