Place a large job when the fastest upstream can just meet its deadline

Cause: the order of waiting jobs knew the objective only. From a chain of 900 ms on the objective comes after the caller's deadline, so the largest jobs counted as having slack that they don't have, and short ones that came later went first.

Change: a job is due at its objective or at its deadline less its work on the fastest upstream, whichever comes first.

Two scenarios of decisions.feature that were known red pass, with the bounds as they were.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -90,12 +90,10 @@
     Then a job with a critical path of 50 ms precedes one of 760 ms received 100 ms earlier
     And a job with a critical path of 760 ms precedes one of 50 ms received 500 ms later
 
-  @known_red
   Scenario: A job whose deadline comes before its objective precedes a short one received later
     # Guards against large jobs that wait until they miss their deadline.
     Then a job with a critical path of 1400 ms precedes one of 170 ms received 400 ms later
 
-  @known_red
   Scenario: The largest jobs are served at least half as often as all at peak load
     # Guards against large jobs whose room goes to short ones until their deadline has passed.
     When a leader plays 13 s of peak load with the seeds 1 to 8
--- a/features/steps/job_submitter.py
+++ b/features/steps/job_submitter.py
@@ -9,7 +9,7 @@
 
 from fireflybridge_entry import JobSubmitter, LocalLeader, RemoteLeader
 from fireflybridge_http import ConnectionPool, Request, Response
-from fireflybridge_jobs import Answer, EarlierRuns, Job, Succeeded
+from fireflybridge_jobs import Answer, EarlierRuns, Job, JobSender, Succeeded
 from fireflybridge_pauses import PauseMonitor
 
 SENDING_S = 0.05
@@ -21,7 +21,9 @@
     def __init__(self) -> None:
         self.earlier: EarlierRuns | None = None
 
-    async def submit(self, job: Job, age_s: float, earlier: EarlierRuns | None) -> Answer:
+    async def submit(
+        self, job: Job, age_s: float, earlier: EarlierRuns | None, sender: JobSender
+    ) -> Answer:
         """Complete a job."""
         self.earlier = earlier
         return Succeeded()
--- a/features/support/peak.py
+++ b/features/support/peak.py
@@ -197,7 +197,9 @@
 
 
 def _compute_latest_start(active: PeakJob) -> float:
-    return compute_latest_start(active.job, active.received_s, active.critical_path_ms)
+    return compute_latest_start(
+        active.job, active.received_s, active.critical_path_ms, max(SIZES)[0]
+    )
 
 
 def _is_given_up(active: PeakJob, now_s: float) -> bool:
--- a/packages/execution/src/fireflybridge_execution/_job_runs.py
+++ b/packages/execution/src/fireflybridge_execution/_job_runs.py
@@ -79,7 +79,13 @@
     def _enqueue(self, active: ActiveJob) -> None:
         critical_path_ms = self._placer.predict_critical_path_ms(active)
         self._queue.add(
-            active, compute_latest_start(active.job, active.received_s, critical_path_ms)
+            active,
+            compute_latest_start(
+                active.job,
+                active.received_s,
+                critical_path_ms,
+                self._placer.estimator.get_highest_speed(),
+            ),
         )
         self._schedule_review(active)
 
