--- a/features/silent_leaders.feature
+++ b/features/silent_leaders.feature
@@ -44,3 +44,9 @@
     But one that is sent 0.9 s later isn't
     And neither is one under a term that the other leader hasn't been told of
     And neither is one of a caller that may send a job again at any time
+
+  Scenario: A new leader opens the sessions with its upstreams a few at a time
+    # Guards against a new leader that is lost since it answers no heartbeat while it opens them all.
+    When a leader that does nothing else gets 60 upstreams, the first 20 of which don't reply
+    Then it has asked at most 8 of them for their runs before it does anything else
+    And the others have listed their runs within 0.2 s
--- a/features/steps/job_submitter.py
+++ b/features/steps/job_submitter.py
@@ -5,30 +5,16 @@
 import anyio
 from behave import given, then, when
 from behave.runner import Context
+from support.recording_scheduler import RecordingScheduler
 from support.upstreams import make_job
 
 from fireflybridge_entry import JobSubmitter, LocalLeader, RemoteLeader
 from fireflybridge_http import ConnectionPool, Request, Response
-from fireflybridge_jobs import Answer, EarlierRuns, Job, JobSender, Succeeded
 from fireflybridge_pauses import PauseMonitor
 
 SENDING_S = 0.05
 
 
-class RecordingScheduler:
-    """A scheduler that completes each job and records what it is told of earlier runs."""
-
-    def __init__(self) -> None:
-        self.earlier: EarlierRuns | None = None
-
-    async def submit(
-        self, job: Job, age_s: float, earlier: EarlierRuns | None, sender: JobSender
-    ) -> Answer:
-        """Complete a job."""
-        self.earlier = earlier
-        return Succeeded()
-
-
 async def wait_forever(_pool: ConnectionPool, _request: Request, _timeout_s: float) -> Response:
     """Never answer a request."""
     await anyio.sleep_forever()
--- a/features/steps/leader_election.py
+++ b/features/steps/leader_election.py
@@ -6,6 +6,7 @@
 import anyio
 from behave import given, then, when
 from behave.runner import Context
+from support.recording_scheduler import RecordingScheduler
 from support.terms import HangingPollLog
 from support.upstreams import make_job, wait_until
 
@@ -13,7 +14,6 @@
 from fireflybridge_host._election import LeaderElection
 from fireflybridge_host._event_logger import EventLogger
 from fireflybridge_http import Request, Response
-from fireflybridge_jobs import Answer, EarlierRuns, Job, Succeeded
 from fireflybridge_leadership import AppendResult, Holder, Leadership, Term, compute_fence
 from fireflybridge_pauses import PauseMonitor
 
@@ -118,23 +118,6 @@
         raise AssertionError
 
 
-class RecordingScheduler:
-    """A scheduler that records what it is told of a job's earlier runs."""
-
-    upstream_count = 4
-
-    def __init__(self) -> None:
-        self.earlier: EarlierRuns | None = None
-
-    async def submit(self, job: Job, age_s: float, earlier: EarlierRuns | None) -> Answer:
-        """Record the earlier runs."""
-        self.earlier = earlier
-        return Succeeded()
-
-    def lead(self, fences: object) -> None:
-        """Do nothing."""
-
-
 def make_election(
     leadership: Leadership,
     monitor: object,
--- a/features/steps/silent_leaders.py
+++ b/features/steps/silent_leaders.py
@@ -7,6 +7,7 @@
 from anyio.abc import TaskGroup
 from behave import given, then, when
 from behave.runner import Context
+from support.leased_upstreams import LeasedConnection, LeasedNetwork, LeasedUpstream
 from support.linked_leaders import (
     FIRST,
     RESUBMISSION_DELAY_S,
@@ -16,13 +17,16 @@
     run_linked,
 )
 from support.shared_leaders import has_run
-from support.upstreams import make_long_job, wait_until
+from support.upstreams import describe_upstreams, make_long_job, read_once, wait_until
 
 from fireflybridge_clearances import JobClearances, LeaderReport
 from fireflybridge_entry._question_codec import decode_question
+from fireflybridge_execution import Scheduler
+from fireflybridge_execution._command_sender import COMMAND_CONNECTIONS
 from fireflybridge_http import Request, Response, Server, ServerLimits
-from fireflybridge_jobs import Job, JobSender, Resources
+from fireflybridge_jobs import Job, JobSender, Resources, UpstreamInfo
 from fireflybridge_leadership import Holder, Term
+from fireflybridge_pauses import PauseMonitor
 
 JOB = make_long_job("a")
 SETTLED_S = 0.4
@@ -127,6 +131,7 @@
 LISTED_LATE_S = 0.4
 SLOW_REPLY_S = 0.3
 AFTER_S = 1.0
+LISTED_WITHIN_S = 0.2
 
 
 @when(
@@ -226,3 +231,51 @@
 @then("neither is one of a caller that may send a job again at any time")
 def check_hasty_caller(context: Context) -> None:
     assert not is_cleared(make_clearances(context.terms, 0.0), "d")
+
+
+UPSTREAM_COUNT, DEAD_COUNT = 60, 20
+
+
+@when("a leader that does nothing else gets 60 upstreams, the first 20 of which don't reply")
+def open_sessions(context: Context) -> None:
+    infos = describe_upstreams(UPSTREAM_COUNT)
+    upstreams = {name: LeasedUpstream(name) for name in infos}
+    network = LeasedNetwork("leader", upstreams)
+    network.cut = set(list(infos)[:DEAD_COUNT])
+    context.opened_in_a_row = []
+
+    async def run() -> None:
+        scheduler = Scheduler(network, lambda _event: None, lambda: None, PauseMonitor())
+        opened = 0
+        open_connection = network.open
+
+        def count_opened(info: UpstreamInfo) -> LeasedConnection:
+            nonlocal opened
+            opened += 1
+            return open_connection(info)
+
+        network.open = count_opened  # type: ignore[method-assign]
+        async with anyio.create_task_group() as group:
+            group.start_soon(scheduler.serve)
+            scheduler.lead({"z1": FIRST})
+            scheduler.set_upstreams(read_once(infos))
+            began_s = time.monotonic()
+            while time.monotonic() < began_s + LISTED_WITHIN_S:
+                before = opened
+                await anyio.sleep(0)
+                context.opened_in_a_row.append(opened - before)
+            context.listed = sum(session.synced for session in scheduler._sessions)
+            group.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+@then("it has asked at most {count:d} of them for their runs before it does anything else")
+def check_opened(context: Context, count: int) -> None:
+    connections = 1 + COMMAND_CONNECTIONS
+    assert max(context.opened_in_a_row) <= count * connections, max(context.opened_in_a_row)
+
+
+@then("the others have listed their runs within 0.2 s")
+def check_listed(context: Context) -> None:
+    assert context.listed == UPSTREAM_COUNT - DEAD_COUNT, context.listed
--- a/packages/execution/src/fireflybridge_execution/_session_manager.py
+++ b/packages/execution/src/fireflybridge_execution/_session_manager.py
@@ -1,6 +1,7 @@
 """Lifecycle of the sessions with the upstreams that this host leads."""
 
 import time
+from collections import deque
 from collections.abc import Callable, Iterator, Mapping
 from itertools import chain
 
@@ -17,9 +18,13 @@
 from fireflybridge_execution._start_gate import StartGate
 from fireflybridge_execution._unknown_runs import UNKNOWN_RUN_LIFETIME_S
 from fireflybridge_jobs import EarlierRuns, UpstreamInfo
+from fireflybridge_leadership import Notifier
 
 # A leader that is cut off from the store keeps using upstreams whose entries have expired.
 REMOVED_UPSTREAM_WAIT_S = 15.0
+# A new leader goes on answering heartbeats while it opens its sessions.
+OPENED_AT_ONCE = 8
+OPENING_INTERVAL_S = 0.005
 RESTART_DELAY_S = 0.1  # a new leader waits for the list of every upstream
 
 
@@ -49,6 +54,9 @@
         self._superseded_domains: set[str] = set()
         self._retired: set[UpstreamSession] = set()
         self._group: TaskGroup | None = None
+        self._opened: deque[UpstreamSession] = deque()
+        """Sessions that are not served yet."""
+        self._session_opened = Notifier()
 
     def __iter__(self) -> Iterator[UpstreamSession]:
         """Iterate over the open sessions."""
@@ -165,6 +173,7 @@
     def start(self, group: TaskGroup) -> None:
         """Open the sessions and run them in a task group."""
         self._group = group
+        group.start_soon(self._serve_opened, group)
         self._reconcile()
 
     def lead(self, fences: Mapping[str, int]) -> bool:
@@ -216,7 +225,7 @@
                 session.update(info)
         if self._group is not None:
             for name in wanted.keys() - self._sessions.keys():
-                self._open(wanted[name], self._group)
+                self._open(wanted[name])
 
     def _is_current(self, session: UpstreamSession, info: UpstreamInfo) -> bool:
         return (
@@ -225,7 +234,7 @@
             and session.info.incarnation == info.incarnation
         )
 
-    def _open(self, info: UpstreamInfo, group: TaskGroup) -> None:
+    def _open(self, info: UpstreamInfo) -> None:
         fence = self._fences[info.failure_domain]
         session = UpstreamSession(
             info, fence, self._connector, self._listener, self.live_runs, self._gate
@@ -237,7 +246,19 @@
             led_since_s = self._led_since_s[info.failure_domain]
             self._gate.unknown_runs.expect_list(info, led_since_s, time.monotonic())
         self._listener.availability_changed(info.id)
-        group.start_soon(self._serve, session)
+        self._opened.append(session)
+        self._session_opened.notify()
+
+    async def _serve_opened(self, group: TaskGroup) -> None:
+        """Serve sessions as they are opened, a few at a time."""
+        while True:
+            while not self._opened:
+                await self._session_opened.wait()
+            for _ in range(min(OPENED_AT_ONCE, len(self._opened))):
+                session = self._opened.popleft()
+                if not session.closed:
+                    group.start_soon(self._serve, session)
+            await anyio.sleep(OPENING_INTERVAL_S)
 
     async def _serve(self, session: UpstreamSession) -> None:
         """Serve a session, and replace it after an unexpected error, which must end no other one."""
