Count the silence of a failure domain's earlier leaders towards passing it over

A domain that has been silent for 0.7 s is now passed over once its present leader hasn't replied for 0.3 s, and in any case after 1.4 s.

--- a/packages/clearances/src/fireflybridge_clearances/_job_clearances.py
+++ b/packages/clearances/src/fireflybridge_clearances/_job_clearances.py
@@ -14,13 +14,15 @@
     NotHeld,
 )
 from fireflybridge_clearances._ledger import JobLedger, LedgerPart
-from fireflybridge_clearances._other_leader import OtherLeader
+from fireflybridge_clearances._other_leader import UNREACHABLE_S, OtherLeader
 from fireflybridge_clearances._taken_elsewhere import TakenElsewhere
 from fireflybridge_jobs import merge_fences
 from fireflybridge_leadership import Holder, Notifier, Term
 
 # A caller's first submission reaches a leader sooner; one that was held up must be asked for.
 MAX_SUBMISSION_AGE_S = 0.45
+# A new leader gets some time to reply, though its failure domain has been silent for long.
+FIRST_REPLY_S = 0.3
 # A failure domain whose leaders come and go without a full report is as good as cut off.
 DOMAIN_UNREACHABLE_S = 1.4
 RESULT_RETENTION_S = 5.0  # a leader knows the results of its jobs for so long after their deadlines
@@ -248,19 +250,26 @@
         """Note that a question is sent to another leader at a monotonic time."""
         for domain in self._find_domains(leader):
             self._unheard_since_s.setdefault(domain, asked_s)
+        found = self._leaders.get(leader)
+        if found is not None and found.waiting_since_s is None:
+            found.waiting_since_s = asked_s
 
     def note_silence(self, leader: Holder, since_s: float) -> None:
         """Note that another leader hasn't replied to a question sent at a monotonic time."""
         self._update_leaders()
         found = self._leaders.get(leader)
-        if found is not None and found.silent_since_s is None:
-            found.silent_since_s = since_s
+        if found is None or found.silent_since_s is not None:
+            return
+        for domain in found.fences:
+            if self._unheard_since_s.get(domain) == found.waiting_since_s:
+                self._unheard_since_s[domain] = since_s
+        found.silent_since_s = found.waiting_since_s = since_s
 
     def note_contact(self, leader: Holder) -> None:
         """Note that another leader can be reached."""
         found = self._leaders.get(leader)
         if found is not None:
-            found.silent_since_s = None
+            found.note_reply_to_question()
 
     def is_silent(self, leader: Holder) -> bool:
         """Return whether another leader has not replied to the last question."""
@@ -271,7 +280,7 @@
         """Note that this host asks no other leader any more, so that silence means nothing."""
         self._unheard_since_s.clear()
         for leader in self._leaders.values():
-            leader.silent_since_s = None
+            leader.note_reply_to_question()
 
     def note_asker(self, job: str, asker: Holder) -> None:
         """Note that another leader, which asks about a job, has taken it."""
@@ -373,11 +382,12 @@
                     self._leaders[term.holder].ask(job)
 
     def _is_out_of_reach(self, term: Term) -> bool:
+        """Return whether the leaders of a failure domain, the present one too, have been silent."""
         unheard_since_s = self._unheard_since_s.get(term.domain, inf)
-        return (
-            self._leaders[term.holder].is_unreachable
-            or time.monotonic() >= unheard_since_s + DOMAIN_UNREACHABLE_S
-        )
+        waiting_since_s = self._leaders[term.holder].waiting_since_s
+        waiting_since_s = inf if waiting_since_s is None else waiting_since_s
+        limit_s = min(waiting_since_s + FIRST_REPLY_S, unheard_since_s + DOMAIN_UNREACHABLE_S)
+        return time.monotonic() >= max(limit_s, unheard_since_s + UNREACHABLE_S)
 
 
 def _apply_holding(clearance: _Clearance, report: LeaderReport, holding: Holding) -> _Clearance:
--- a/packages/clearances/src/fireflybridge_clearances/_other_leader.py
+++ b/packages/clearances/src/fireflybridge_clearances/_other_leader.py
@@ -20,7 +20,9 @@
         self.ledger_number = 0
         """The number of the last job that it has told of those it has taken."""
         self.silent_since_s: float | None = None
-        """When the first question was sent to which it hasn't replied, None if it has."""
+        """When the first question was sent to which it hasn't replied in time, None if it has."""
+        self.waiting_since_s: float | None = None
+        """When the first question was sent that it hasn't replied to yet, None if it has."""
         self._new: dict[str, None] = dict.fromkeys(jobs)
         """Jobs that it wasn't asked about yet."""
         self._open: dict[str, None] = {}
@@ -32,6 +34,10 @@
         since_s = self.silent_since_s
         return since_s is not None and time.monotonic() >= since_s + UNREACHABLE_S
 
+    def note_reply_to_question(self) -> None:
+        """Note that it has replied to the last question."""
+        self.silent_since_s = self.waiting_since_s = None
+
     @property
     def has_new_questions(self) -> bool:
         """Return whether there are jobs that it wasn't asked about yet."""
