--- a/features/silent_leaders.feature
+++ b/features/silent_leaders.feature
@@ -8,6 +8,11 @@
     When a job is sent to a leader while another one has just fallen silent
     Then it starts within 0.2 s
 
+  Scenario: A job starts while the new leader of another failure domain waits for a list of runs
+    # Guards against a stop of all starts at each change of the leader in one failure domain.
+    When a job is sent to a leader while another failure domain's new leader waits for a list
+    Then it starts within 0.2 s
+
   Scenario: Jobs start while another failure domain changes its leader over and over
     # Guards against a wait that begins anew with each leader that never replies.
     When a job is sent to a leader each 0.2 s while another failure domain gets a silent leader each 0.5 s
--- a/features/steps/silent_leaders.py
+++ b/features/steps/silent_leaders.py
@@ -59,6 +59,20 @@
     run_linked(context, play)
 
 
+@when("a job is sent to a leader while another failure domain's new leader waits for a list")
+def submit_beside_listing(context: Context) -> None:
+    async def play(first: LinkedLeader, second: LinkedLeader, group: TaskGroup) -> None:
+        await begin(context, first, second)
+        await anyio.sleep(SETTLED_S)
+        second.network.cut = {"u1"}
+        first.learn(*second.begin_terms(SECOND, "z2"))
+        context.waits_s = []
+        await measure_start(context, first, group, JOB)
+        context.started_after_s = context.waits_s[0]
+
+    run_linked(context, play)
+
+
 @when(
     "a job is sent to a leader each 0.2 s while another failure domain gets a silent leader each 0.5 s"
 )
