--- a/features/steps/silent_leaders.py
+++ b/features/steps/silent_leaders.py
@@ -206,7 +206,6 @@
 def make_clearances(terms: list[Term], delay_s: float) -> JobClearances:
     """Return the clearances of a leader to which another one reports now."""
     clearances = JobClearances(OWN, lambda: terms, delay_s)
-    clearances.list_leaders()
     report = LeaderReport(OTHER, {"z2": FIRST}, frozenset(), {}, knows_runs=True)
     clearances.apply_report(report, time.monotonic())
     return clearances
--- a/packages/clearances/src/fireflybridge_clearances/_job_clearances.py
+++ b/packages/clearances/src/fireflybridge_clearances/_job_clearances.py
@@ -14,17 +14,13 @@
     NotHeld,
 )
 from fireflybridge_clearances._ledger import JobLedger, LedgerPart
-from fireflybridge_clearances._other_leader import UNREACHABLE_S, OtherLeader
+from fireflybridge_clearances._other_leaders import OtherLeaders
 from fireflybridge_clearances._taken_elsewhere import TakenElsewhere
 from fireflybridge_jobs import merge_fences
 from fireflybridge_leadership import Holder, Notifier, Term
 
 # A caller's first submission reaches a leader sooner; one that was held up must be asked for.
 MAX_SUBMISSION_AGE_S = 0.45
-# A new leader gets some time to reply, though its failure domain has been silent for long.
-FIRST_REPLY_S = 0.3
-# A failure domain whose leaders come and go without a full report is as good as cut off.
-DOMAIN_UNREACHABLE_S = 1.4
 RESULT_RETENTION_S = 5.0  # a leader knows the results of its jobs for so long after their deadlines
 
 
@@ -62,9 +58,6 @@
     Any other job is asked about before its first start, and once more when a failure domain has got
     another leader. Of two leaders with terms in the log, at least the one with the later term knows
     the other, and its question names its terms, so one of them learns of the other's job.
-
-    A leader that hasn't replied for ``UNREACHABLE_S`` is passed over, so that a failure domain that
-    is cut off goes on serving.
     """
 
     def __init__(
@@ -79,23 +72,15 @@
         """
         self.asked = Notifier()
         """Notified when there is a job to ask for."""
+        self.leaders = OtherLeaders(holder, find_terms)
+        """Which other leaders there are, and whether they reply."""
         self._holder = holder
-        self._find_terms = find_terms
         self._resubmission_delay_s = resubmission_delay_s
         self._jobs: dict[str, _Clearance] = {}
         self._asked_jobs: dict[str, None] = {}
         """The jobs that a leader must be asked about."""
         self._ledger = JobLedger()
         self._elsewhere = TakenElsewhere()
-        self._known_terms: tuple[Term, ...] = ()
-        self._own_terms: frozenset[Term] = frozenset()
-        self._terms: tuple[Term, ...] = ()
-        """The terms of the other leaders."""
-        self._leaders: dict[Holder, OtherLeader] = {}
-        self._told_until_s: dict[str, float] = {}
-        """For each failure domain the time until which its leaders have told all jobs they took."""
-        self._unheard_since_s: dict[str, float] = {}
-        """When the first question was sent to a failure domain that no full report has followed."""
 
     # Jobs of this leader
 
@@ -122,7 +107,7 @@
         """Forget a job that has ended."""
         self._jobs.pop(job, None)
         self._asked_jobs.pop(job, None)
-        for leader in self._leaders.values():
+        for leader in self.leaders:
             leader.settle(job)
 
     def note_runs(self, jobs: Iterable[str]) -> None:
@@ -132,16 +117,28 @@
 
     def _ask(self, job: str) -> None:
         """Ask the leaders that have to clear a job, and haven't."""
-        self._update_leaders()
+        self._ask_new_leaders()
         clearance = self._jobs[job]
         if clearance.told_until_s < inf and not clearance.suspects:
             return
         self._asked_jobs[job] = None
-        for term in self._terms:
-            if self._must_ask(clearance, term):
-                self._leaders[term.holder].ask(job)
+        self._ask_each(job, self.leaders.terms)
         self.asked.notify()
 
+    def _ask_each(self, job: str, terms: Iterable[Term]) -> None:
+        """Ask those leaders of terms that have to clear a job, and haven't."""
+        for term in terms:
+            leader = self.leaders.find(term.holder)
+            if leader is not None and self._must_ask(self._jobs[job], term):
+                leader.ask(job)
+
+    def _ask_new_leaders(self) -> None:
+        """Ask another leader with a new term about the jobs that it hasn't cleared under it."""
+        new_terms = self.leaders.take_new_terms()
+        if new_terms:
+            for job in self._asked_jobs:
+                self._ask_each(job, new_terms)
+
     def _must_ask(self, clearance: _Clearance, term: Term) -> bool:
         return not _covers(clearance, term) and (
             clearance.told_until_s == inf or term.domain in clearance.suspects
@@ -149,21 +146,21 @@
 
     def is_cleared(self, job: str) -> bool:
         """Return whether every other leader has cleared a job, or is out of reach."""
-        self._update_leaders()
-        if not self._terms:
+        self._ask_new_leaders()
+        if not self.leaders.terms:
             return True
         clearance = self._jobs.get(job, UNKNOWN)
         return self.find_holder(job) is None and all(
             _covers(clearance, term)
             or self._has_told(clearance, term.domain)
-            or self._is_out_of_reach(term)
-            for term in self._terms
+            or self.leaders.is_out_of_reach(term)
+            for term in self.leaders.terms
         )
 
     def _has_told(self, clearance: _Clearance, domain: str) -> bool:
         """Return whether the leaders of a failure domain have told of their jobs, not of this one."""
-        told_until_s = self._told_until_s.get(domain, -inf)
-        return told_until_s >= clearance.told_until_s and domain not in clearance.suspects
+        has_told = self.leaders.has_told(domain, clearance.told_until_s)
+        return has_told and domain not in clearance.suspects
 
     def rules_out_runs(self, job: str, domain: str, fence: int) -> bool:
         """Return whether no run of a job is alive in a failure domain, by its leader's lists.
@@ -178,8 +175,8 @@
         holder = self._jobs.get(job, UNKNOWN).holder
         if holder is None:
             return None
-        self._update_leaders()
-        leader = self._leaders.get(holder)
+        self._ask_new_leaders()
+        leader = self.leaders.find(holder)
         return None if leader is None or leader.is_unreachable else holder
 
     def takes_precedence(self, leader: Holder) -> bool:
@@ -189,7 +186,7 @@
     def defer_job(self, job: str, leader: Holder) -> None:
         """Leave a job to another leader, whose next report says whether it still holds it."""
         clearance = self._jobs[job]
-        domains = self._find_domains(leader)
+        domains = self.leaders.find_domains(leader)
         self._jobs[job] = replace(
             clearance,
             fences={d: fence for d, fence in clearance.fences.items() if d not in domains},
@@ -202,89 +199,36 @@
 
     # Other leaders
 
-    def list_leaders(self) -> frozenset[Holder]:
-        """Return the other leaders."""
-        self._update_leaders()
-        return frozenset(self._leaders)
-
     def list_open(self, leader: Holder) -> tuple[str, ...]:
         """Return the jobs that another leader is to be asked about now, the new ones first."""
-        self._update_leaders()
-        found = self._leaders.get(leader)
+        self._ask_new_leaders()
+        found = self.leaders.find(leader)
         return () if found is None else found.list_questions()
 
     def has_new_questions(self, leader: Holder) -> bool:
         """Return whether there are jobs that another leader wasn't asked about yet."""
-        self._update_leaders()
-        return leader in self._leaders and self._leaders[leader].has_new_questions
+        self._ask_new_leaders()
+        found = self.leaders.find(leader)
+        return found is not None and found.has_new_questions
 
     def has_questions(self, leader: Holder) -> bool:
         """Return whether there are jobs that another leader hasn't cleared."""
-        self._update_leaders()
-        return leader in self._leaders and self._leaders[leader].has_questions
+        self._ask_new_leaders()
+        found = self.leaders.find(leader)
+        return found is not None and found.has_questions
 
     def get_ledger_number(self, leader: Holder) -> int:
         """Return the number of the last job that another leader has told of those it has taken."""
-        found = self._leaders.get(leader)
+        found = self.leaders.find(leader)
         return 0 if found is None else found.ledger_number
 
     def list_taken(self, since: int) -> LedgerPart:
         """Return the jobs that this leader has taken, with numbers above one."""
         return self._ledger.list_since(since)
 
-    def can_ask(self, domain: str) -> bool:
-        """Return whether a failure domain has another leader, which has not been silent for long."""
-        self._update_leaders()
-        return any(
-            term.domain == domain and not self._leaders[term.holder].is_unreachable
-            for term in self._terms
-        )
-
-    def list_unreachable(self) -> tuple[str, ...]:
-        """Return the hosts of the leaders that are passed over, since they don't reply."""
-        self._update_leaders()
-        hosts = (term.holder.host for term in self._terms if self._is_out_of_reach(term))
-        return tuple(dict.fromkeys(hosts))
-
-    def note_question(self, leader: Holder, asked_s: float) -> None:
-        """Note that a question is sent to another leader at a monotonic time."""
-        for domain in self._find_domains(leader):
-            self._unheard_since_s.setdefault(domain, asked_s)
-        found = self._leaders.get(leader)
-        if found is not None and found.waiting_since_s is None:
-            found.waiting_since_s = asked_s
-
-    def note_silence(self, leader: Holder, since_s: float) -> None:
-        """Note that another leader hasn't replied to a question sent at a monotonic time."""
-        self._update_leaders()
-        found = self._leaders.get(leader)
-        if found is None or found.silent_since_s is not None:
-            return
-        for domain in found.fences:
-            if self._unheard_since_s.get(domain) == found.waiting_since_s:
-                self._unheard_since_s[domain] = since_s
-        found.silent_since_s = found.waiting_since_s = since_s
-
-    def note_contact(self, leader: Holder) -> None:
-        """Note that another leader can be reached."""
-        found = self._leaders.get(leader)
-        if found is not None:
-            found.note_reply_to_question()
-
-    def is_silent(self, leader: Holder) -> bool:
-        """Return whether another leader has not replied to the last question."""
-        found = self._leaders.get(leader)
-        return found is not None and found.silent_since_s is not None
-
-    def stop_asking(self) -> None:
-        """Note that this host asks no other leader any more, so that silence means nothing."""
-        self._unheard_since_s.clear()
-        for leader in self._leaders.values():
-            leader.note_reply_to_question()
-
     def note_asker(self, job: str, asker: Holder) -> None:
         """Note that another leader, which asks about a job, has taken it."""
-        domains = self._find_domains(asker)
+        domains = self.leaders.find_domains(asker)
         if domains:
             self._elsewhere.note(job, domains, RESULT_RETENTION_S)
 
@@ -293,8 +237,8 @@
 
         Return the jobs that the report still concerns.
         """
-        self._update_leaders()
-        self.note_contact(report.leader)
+        self._ask_new_leaders()
+        self.leaders.note_contact(report.leader)
         self._apply_ledger(report, asked_s)
         jobs = tuple(job for job in report.holdings if self._concerns(report, job, asked_s))
         for job in jobs:
@@ -305,7 +249,7 @@
 
     def _apply_ledger(self, report: LeaderReport, asked_s: float) -> None:
         """Note the jobs that another leader has taken, and until when it has told all of them."""
-        leader = self._leaders.get(report.leader)
+        leader = self.leaders.find(report.leader)
         if leader is None:
             return
         leader.ledger_number = report.taken.last_number
@@ -314,12 +258,9 @@
             self._elsewhere.note(job, domains, keep_s)
             if job in self._jobs:
                 self._suspect(job, domains)
-        if not report.knows_runs or not report.taken.is_last:
-            return
-        for domain, fence in leader.fences.items():
-            if report.fences.get(domain, -1) >= fence:
-                self._unheard_since_s.pop(domain, None)
-                self._told_until_s[domain] = max(self._told_until_s.get(domain, -inf), asked_s)
+        if report.knows_runs and report.taken.is_last:
+            led = [t for t in self.leaders.terms if report.fences.get(t.domain, -1) >= t.fence]
+            self.leaders.note_report(report.leader, led, asked_s)
 
     def _suspect(self, job: str, domains: Collection[str]) -> None:
         """Ask about a job of this leader that a leader of other failure domains has taken as well."""
@@ -329,10 +270,10 @@
             self._ask(job)
 
     def _note_answer(self, holder: Holder, job: str, clearance: _Clearance) -> None:
-        leader = self._leaders.get(holder)
+        leader = self.leaders.find(holder)
         if leader is None:
             return
-        if all(_covers(clearance, term) for term in self._terms if term.holder == holder):
+        if all(_covers(clearance, term) for term in self.leaders.terms if term.holder == holder):
             leader.settle(job)
         else:
             leader.note_reply(job)
@@ -343,52 +284,6 @@
             clearance.opened_s, clearance.deferred_s.get(report.leader, 0.0)
         )
 
-    def _find_domains(self, leader: Holder) -> frozenset[str]:
-        self._update_leaders()
-        found = self._leaders.get(leader)
-        return frozenset() if found is None else frozenset(found.fences)
-
-    def _update_leaders(self) -> None:
-        """Ask another leader with a new term about the jobs that it hasn't cleared under it."""
-        known = tuple(self._find_terms())
-        if known == self._known_terms:
-            return
-        self._known_terms = known
-        own = frozenset(term for term in known if term.holder == self._holder)
-        if not own <= self._own_terms:
-            # The other leaders have to hear of the new term before anything starts under it.
-            self._told_until_s.clear()
-        self._own_terms = own
-        terms = tuple(term for term in known if term.holder != self._holder)
-        changed = set(terms) - set(self._terms)
-        self._terms = terms
-        fences: dict[Holder, dict[str, int]] = {}
-        for term in terms:
-            fences.setdefault(term.holder, {})[term.domain] = term.fence
-        self._leaders = {
-            holder: self._leaders.get(holder) or OtherLeader({}, ()) for holder in fences
-        }
-        for holder, leader in self._leaders.items():
-            leader.fences = fences[holder]
-        domains = {term.domain for term in terms}
-        self._unheard_since_s = {
-            domain: since_s
-            for domain, since_s in self._unheard_since_s.items()
-            if domain in domains
-        }
-        for job in self._asked_jobs:
-            for term in changed:
-                if self._must_ask(self._jobs[job], term):
-                    self._leaders[term.holder].ask(job)
-
-    def _is_out_of_reach(self, term: Term) -> bool:
-        """Return whether the leaders of a failure domain, the present one too, have been silent."""
-        unheard_since_s = self._unheard_since_s.get(term.domain, inf)
-        waiting_since_s = self._leaders[term.holder].waiting_since_s
-        waiting_since_s = inf if waiting_since_s is None else waiting_since_s
-        limit_s = min(waiting_since_s + FIRST_REPLY_S, unheard_since_s + DOMAIN_UNREACHABLE_S)
-        return time.monotonic() >= max(limit_s, unheard_since_s + UNREACHABLE_S)
-
 
 def _apply_holding(clearance: _Clearance, report: LeaderReport, holding: Holding) -> _Clearance:
     holder = None if clearance.holder == report.leader else clearance.holder
--- a/packages/clearances/src/fireflybridge_clearances/_other_leader.py
+++ b/packages/clearances/src/fireflybridge_clearances/_other_leader.py
@@ -1,7 +1,7 @@
 """What this leader has to ask another one, and whether that one replies."""
 
 import time
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from itertools import chain, islice
 
 # A leader that has ended leaves runs whose lease lasts 0.62 s; another one lists them by then.
@@ -14,16 +14,16 @@
 class OtherLeader:
     """Keep the questions to one other leader, and the time since which it hasn't replied."""
 
-    def __init__(self, fences: Mapping[str, int], jobs: Iterable[str]) -> None:
-        """Begin to ask a leader of some terms, fencing tokens by failure domain, about jobs."""
-        self.fences = fences
+    def __init__(self) -> None:
+        self.fences: Mapping[str, int] = {}
+        """The fencing tokens of its terms by failure domain."""
         self.ledger_number = 0
         """The number of the last job that it has told of those it has taken."""
         self.silent_since_s: float | None = None
         """When the first question was sent to which it hasn't replied in time, None if it has."""
         self.waiting_since_s: float | None = None
         """When the first question was sent that it hasn't replied to yet, None if it has."""
-        self._new: dict[str, None] = dict.fromkeys(jobs)
+        self._new: dict[str, None] = {}
         """Jobs that it wasn't asked about yet."""
         self._open: dict[str, None] = {}
         """Jobs that it hasn't cleared when it was asked; those asked about longest ago come first."""
--- a/packages/entry/src/fireflybridge_entry/_leader_links.py
+++ b/packages/entry/src/fireflybridge_entry/_leader_links.py
@@ -54,9 +54,9 @@
 
     def _update(self, group: TaskGroup) -> None:
         leads = bool(self._leadership.find_terms_held_by(self._holder))
-        leaders = self._clearances.list_leaders() if leads else frozenset()
+        leaders = self._clearances.leaders.holders if leads else frozenset()
         if not leads:
-            self._clearances.stop_asking()
+            self._clearances.leaders.stop_asking()
         for leader in self._scopes.keys() - leaders:
             self._scopes.pop(leader).cancel()
         for leader in leaders - self._scopes.keys():
@@ -73,12 +73,12 @@
                     await self._ask(connection, leader)
                     await self._wait_for_question(leader)
         finally:
-            self._clearances.note_contact(leader)
+            self._clearances.leaders.note_contact(leader)
             await connection.close()
 
     async def _wait_for_question(self, leader: Holder) -> None:
         """Wait for a new question, or until it is time for the next report."""
-        if self._clearances.is_silent(leader):
+        if self._clearances.leaders.is_silent(leader):
             return
         repeats = self._clearances.has_questions(leader)
         with anyio.move_on_after(RETRY_S if repeats else REPORT_INTERVAL_S):
@@ -97,7 +97,7 @@
             self._clearances.get_ledger_number(leader),
         )
         asked_s = time.monotonic()
-        self._clearances.note_question(leader, asked_s)
+        self._clearances.leaders.note_question(leader, asked_s)
         try:
             response = await connection.exchange(encode_question(question), UNREACHABLE_S)
             reply = decode_question_reply(response)
@@ -116,5 +116,5 @@
         self._scheduler.apply_report(reply.report, asked_s)
 
     async def _retry_later(self, leader: Holder, silent_since_s: float) -> None:
-        self._clearances.note_silence(leader, silent_since_s)
+        self._clearances.leaders.note_silence(leader, silent_since_s)
         await anyio.sleep(RETRY_S)
--- a/packages/execution/src/fireflybridge_execution/_earlier_runs.py
+++ b/packages/execution/src/fireflybridge_execution/_earlier_runs.py
@@ -52,7 +52,7 @@
 
     def _can_learn(self, earlier: EarlierRuns) -> bool:
         """Return whether this host or other leaders can list every run that is marked."""
-        can_ask = self._gate.clearances.can_ask
+        can_ask = self._gate.clearances.leaders.can_ask
         domains = {name: fence for name, fence in earlier.domains.items() if not can_ask(name)}
         upstreams = {
             name: fence
--- a/packages/execution/src/fireflybridge_execution/_job_holdings.py
+++ b/packages/execution/src/fireflybridge_execution/_job_holdings.py
@@ -84,7 +84,7 @@
         """
         clearances = self._gate.clearances
         is_first = clearances.takes_precedence(asker)
-        if asker not in clearances.list_leaders():
+        if asker not in clearances.leaders.holders:
             return True
         if question.begun:
             return active.has_begun and is_first
--- a/packages/execution/src/fireflybridge_execution/_start_gate.py
+++ b/packages/execution/src/fireflybridge_execution/_start_gate.py
@@ -36,11 +36,14 @@
         return (
             self.holds_request(requested_s)
             and self.senders.still_wait(job)
-            and self.view.allows_starts(now_s)
-            and self.knows_runs(now_s)
+            and self.is_open(now_s)
             and self.clearances.is_cleared(job)
         )
 
+    def is_open(self, now_s: float) -> bool:
+        """Return whether runs of any job may start, by what is known of the upstreams."""
+        return self.view.allows_starts(now_s) and self.knows_runs(now_s)
+
     def knows_runs(self, now_s: float) -> bool:
         """Return whether this host knows the runs of all upstreams, those of earlier leaders too.
 
