--- a/features/support/site.py
+++ b/features/support/site.py
@@ -274,6 +274,7 @@
         yield f"limits.cpu_share={1 / int(name[1:])}"
         yield "limits.cores=3"
         yield "bounds.grace_s=6"
+        yield f"bounds.retransmit_ms={RESUBMISSION_DELAY_S * 1000:.0f}"
         yield f"platform.addr={self.find_store(name)}"
 
 
