Ask again after a pause about a job that a leader's reply leaves out

An answered job is no longer placed, and a job that was held back past its refusal is refused once it is cleared, if there is another reason why it can't start.

--- a/features/silent_leaders.feature
+++ b/features/silent_leaders.feature
@@ -55,3 +55,8 @@
     When a leader that does nothing else gets 60 upstreams, the first 20 of which don't reply
     Then it has asked at most 8 of them for their runs before it does anything else
     And the others have listed their runs within 0.2 s
+
+  Scenario: A leader that doesn't know a question isn't asked without a pause
+    # Guards against messages in a tight loop to a leader whose replies leave a job out.
+    When a leader asks another one about a job, and the replies don't mention it
+    Then the other leader gets at most 20 messages in 0.5 s
--- a/features/steps/silent_leaders.py
+++ b/features/steps/silent_leaders.py
@@ -292,3 +292,26 @@
 @then("the others have listed their runs within 0.2 s")
 def check_listed(context: Context) -> None:
     assert context.listed == UPSTREAM_COUNT - DEAD_COUNT, context.listed
+
+
+@when("a leader asks another one about a job, and the replies don't mention it")
+def leave_job_out(context: Context) -> None:
+    async def play(first: LinkedLeader, second: LinkedLeader, group: TaskGroup) -> None:
+        await begin(context, first, second)
+        answer = second.scheduler.answer_questions
+
+        def answer_nothing(own: Holder, asker: Holder, *_: object) -> LeaderReport:
+            return answer(own, asker, ())
+
+        second.scheduler.answer_questions = answer_nothing  # type: ignore[method-assign]
+        group.start_soon(first.submit, JOB)
+        before = second.requests
+        await anyio.sleep(OBSERVED_S)
+        context.messages = second.requests - before
+
+    run_linked(context, play)
+
+
+@then("the other leader gets at most {limit:d} messages in 0.5 s")
+def check_messages(context: Context, limit: int) -> None:
+    assert context.messages <= limit, context.messages
--- a/packages/clearances/src/fireflybridge_clearances/_job_clearances.py
+++ b/packages/clearances/src/fireflybridge_clearances/_job_clearances.py
@@ -217,6 +217,12 @@
         found = self.leaders.find(leader)
         return found is not None and found.has_questions
 
+    def note_asked(self, leader: Holder, jobs: Iterable[str]) -> None:
+        """Note that another leader has replied to the questions about jobs."""
+        found = self.leaders.find(leader)
+        if found is not None:
+            found.note_asked(jobs)
+
     def get_ledger_number(self, leader: Holder) -> int:
         """Return the number of the last job that another leader has told of those it has taken."""
         found = self.leaders.find(leader)
--- a/packages/clearances/src/fireflybridge_clearances/_other_leader.py
+++ b/packages/clearances/src/fireflybridge_clearances/_other_leader.py
@@ -1,7 +1,7 @@
 """What this leader has to ask another one, and whether that one replies."""
 
 import time
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from itertools import chain, islice
 
 # A leader that has ended leaves runs whose lease lasts 0.62 s; another one lists them by then.
@@ -62,6 +62,12 @@
         self._new.pop(job, None)
         self._open.pop(job, None)
 
+    def note_asked(self, jobs: Iterable[str]) -> None:
+        """Note that it has replied to questions; those jobs that it hasn't cleared are asked again."""
+        for job in jobs:
+            if job in self._new:
+                self.note_reply(job)
+
     def note_reply(self, job: str) -> None:
         """Note that it hasn't cleared a job, so that it is asked again."""
         self.settle(job)
--- a/packages/entry/src/fireflybridge_entry/_leader_links.py
+++ b/packages/entry/src/fireflybridge_entry/_leader_links.py
@@ -114,6 +114,7 @@
             await self._retry_later(leader, time.monotonic())
             return
         self._scheduler.apply_report(reply.report, asked_s)
+        self._clearances.note_asked(leader, [asked.job for asked in question.jobs])
 
     async def _retry_later(self, leader: Holder, silent_since_s: float) -> None:
         self._clearances.leaders.note_silence(leader, silent_since_s)
--- a/packages/execution/src/fireflybridge_execution/_waiting_jobs.py
+++ b/packages/execution/src/fireflybridge_execution/_waiting_jobs.py
@@ -73,6 +73,9 @@
             if not next_jobs or not self._placer.has_room(next_jobs):
                 return
             active = next_jobs[0]
+            if active.answer is not None:
+                self._drop(active)
+                continue
             if not self._may_start(active, now_s):
                 self._hold(active)
                 continue
@@ -141,6 +144,8 @@
             elif self._earlier_runs.stay_unknown(active, now_s) and not self._is_left(active):
                 self._abandon(active, "its earlier runs can't be ruled out in time")
             else:
+                if self._clearances.is_cleared(active.job.id):
+                    active.released.set()  # it may be refused for another reason
                 self._queue.hold(active)
 
     def _is_left(self, active: ActiveJob) -> bool:
