Let long tasks run on any fast upstream, not on the one with the highest learned speed

Callers saw: large deposits given up while upstreams were idle. The site's speeds are 0.6 to 1.6; learned ones are inexact, and the highest of many is an outlier. A task that no upstream could finish in time by its estimate asked for 0.9 of that speed, so only the outlier would do; and the order by deadlines took the same speed and gave large jobs slack that they don't have.

Change: the speed asked for is the one that a fifth of the upstreams reach. The scenario fails with the highest speed in its place.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -107,6 +107,11 @@
     Then the speed of "fast" is over twice that of "slow"
     And one straggler of 2000 ms changes the speed of "fast" by less than a fifth
 
+  Scenario: A long task doesn't wait for the one upstream whose learned speed is the highest
+    # Guards against the tasks of large jobs that wait for one upstream while equal ones are idle.
+    When the runs of 30 upstreams take 60 ms each with an estimate of 100 ms, and of one 30 ms
+    Then a task of 3000 ms with 1500 ms left may be placed on any of the 30
+
   Scenario: An upstream is ejected for failures of two jobs, and admitted on probation
     When a run of job "a" fails on an upstream
     Then the upstream admits a run in addition to 1
--- a/features/steps/decisions.py
+++ b/features/steps/decisions.py
@@ -46,6 +46,7 @@
     choose_upstream,
     compute_latest_start,
     compute_refusal_time,
+    compute_run_time_limit,
     record_failure,
     record_success,
     should_move,
@@ -185,6 +186,26 @@
     assert speeds.get_speed("fast") > 2 * speeds.get_speed("slow")
 
 
+@when(
+    "the runs of {count:d} upstreams take {equal:d} ms each with an estimate of {estimate:d} ms,"
+    " and of one {fastest:d} ms"
+)
+def _(context: Context, count: int, equal: int, estimate: int, fastest: int) -> None:
+    context.estimator = WorkEstimator()
+    context.equal = [f"u{number}" for number in range(count)]
+    for _ in range(40):
+        for name in context.equal:
+            context.estimator.record("orders", name, estimate, equal)
+        context.estimator.record("orders", "fastest", estimate, fastest)
+
+
+@then("a task of {work:d} ms with {left:d} ms left may be placed on any of the {count:d}")
+def _(context: Context, work: int, left: int, count: int) -> None:
+    speeds = context.estimator
+    limit_ms = compute_run_time_limit(work, left, speeds.get_fast_speed())
+    assert count == sum(work / speeds.get_speed(name) <= limit_ms for name in context.equal)
+
+
 @then('one straggler of {elapsed:d} ms changes the speed of "fast" by less than a fifth')
 def _(context: Context, elapsed: int) -> None:
     before = context.estimator.get_speed("fast")
--- a/packages/execution/src/fireflybridge_execution/_job_runs.py
+++ b/packages/execution/src/fireflybridge_execution/_job_runs.py
@@ -84,7 +84,7 @@
                 active.job,
                 active.received_s,
                 critical_path_ms,
-                self._placer.estimator.get_highest_speed(),
+                self._placer.estimator.get_fast_speed(),
             ),
         )
         self._schedule_review(active)
--- a/packages/execution/src/fireflybridge_execution/_placer.py
+++ b/packages/execution/src/fireflybridge_execution/_placer.py
@@ -20,11 +20,11 @@
     UpstreamIndex,
     WorkEstimator,
     compute_objective_ms,
+    compute_run_time_limit,
     select_missed_limits,
     should_move,
 )
 
-FASTEST_SHARE = 0.9  # learned speeds of equal upstreams differ by about a tenth
 LATE_FACTOR = 3  # an answer after this many times the objective is worthless
 MIN_DURATION_SHARE = 0.375  # work 40% below the prediction on an upstream of speed 1.6
 
@@ -135,8 +135,7 @@
             excluded |= active.list_full_upstreams(task.step, step.max_per_upstream)
         work_ms = self.estimator.predict_work_ms(active.job.policy.route, step.estimate_ms)
         left_ms = (active.deadline_s - now_s) * 1000
-        fastest = FASTEST_SHARE * self.estimator.get_highest_speed()
-        limit_ms = inf if active.accepts_any_speed else max(left_ms, work_ms / fastest)
+        limit_ms = compute_run_time_limit(work_ms, left_ms, self.estimator.get_fast_speed())
         return TaskRequirements(
             active.job.policy.pool,
             step.needs,
@@ -144,7 +143,7 @@
             step.required_label,
             step.data_rack,
             self._compute_limits(active, now_s, work_ms).objective_ms,
-            limit_ms,
+            inf if active.accepts_any_speed else limit_ms,
             excluded,
         )
 
--- a/packages/placement/src/fireflybridge_placement/__init__.py
+++ b/packages/placement/src/fireflybridge_placement/__init__.py
@@ -1,7 +1,12 @@
 """Scheduling decisions as functions over frozen data classes, without input or output."""
 
 from fireflybridge_placement._admission import RETRY_AFTER_S, compute_refusal_time
-from fireflybridge_placement._choice import TaskRequirements, UpstreamCandidate, choose_upstream
+from fireflybridge_placement._choice import (
+    TaskRequirements,
+    UpstreamCandidate,
+    choose_upstream,
+    compute_run_time_limit,
+)
 from fireflybridge_placement._crashes import (
     CrashHistory,
     should_give_up,
@@ -42,6 +47,7 @@
     "compute_latest_start",
     "compute_objective_ms",
     "compute_refusal_time",
+    "compute_run_time_limit",
     "eject",
     "record_failure",
     "record_success",
--- a/packages/placement/src/fireflybridge_placement/_choice.py
+++ b/packages/placement/src/fireflybridge_placement/_choice.py
@@ -8,6 +8,7 @@
 
 SPEED_COST_MS = 200.0  # per unit of speed; reserves fast upstreams for long tasks
 REMOTE_DATA_FACTOR = 3.0  # slowdown of a task on another rack than that of its data
+FAST_SPEED_SHARE = 0.9  # learned speeds of equal upstreams differ by about a tenth
 LATE_COST_MS = 400.0  # makes an upstream that would be late the last choice for most tasks
 LATE_MARGIN = 1.15  # queueing and calls to the upstream use part of the objective as well
 UNUSED_CPU_COST_MS = 0.0002  # per millicore that stays free; prefers the tightest fit
@@ -43,6 +44,14 @@
     """Whether nothing else may run on the upstream."""
 
 
+def compute_run_time_limit(work_ms: float, left_ms: float, fast_speed: float) -> float:
+    """Return the longest run time in milliseconds that a task may have on its upstream.
+
+    That is the time left until its deadline, or what a fast upstream takes if that is longer.
+    """
+    return max(left_ms, work_ms / (FAST_SPEED_SHARE * fast_speed))
+
+
 def choose_upstream(
     requirements: TaskRequirements, candidates: Iterable[UpstreamCandidate]
 ) -> str | None:
--- a/packages/placement/src/fireflybridge_placement/_estimates.py
+++ b/packages/placement/src/fireflybridge_placement/_estimates.py
@@ -1,10 +1,13 @@
 """Predicted work of tasks and speed of upstreams, learned from completed runs."""
 
 import math
+from bisect import bisect_left, insort
 from collections.abc import Collection
 
 SPEED_WEIGHT = 0.15  # estimates are inaccurate, so one run says little about a speed
 ROUTE_WEIGHT = 0.02
+# Learned speeds are inexact, so the highest of them says little about any upstream.
+FAST_SHARE = 0.2
 MAX_LOG_ERROR = 1.0  # natural logarithm; limits the effect of a single straggler
 
 
@@ -14,8 +17,8 @@
     def __init__(self) -> None:
         self._route_log_ratios: dict[str, float] = {}
         self._upstream_log_ratios: dict[str, float] = {}
-        self._fastest = ""
-        """The upstream with the highest learned speed; empty if none was learned."""
+        self._sorted_log_ratios: list[float] = []
+        """Those of the upstreams, the fastest first."""
 
     def predict_work_ms(self, route: str, estimate_ms: float) -> float:
         """Return the predicted run time of a task on an upstream of average speed."""
@@ -25,9 +28,11 @@
         """Return an upstream's speed relative to the average, which is 1."""
         return math.exp(-self._upstream_log_ratios.get(upstream, 0.0))
 
-    def get_highest_speed(self) -> float:
-        """Return the highest learned speed, or 1 if none was learned yet."""
-        return self.get_speed(self._fastest)
+    def get_fast_speed(self) -> float:
+        """Return the speed that ``FAST_SHARE`` of the upstreams reach, or 1 if none was learned."""
+        if not self._sorted_log_ratios:
+            return 1.0
+        return math.exp(-self._sorted_log_ratios[int(FAST_SHARE * len(self._sorted_log_ratios))])
 
     def record(self, route: str, upstream: str, estimate_ms: float, elapsed_ms: float) -> None:
         """Update the averages with the run time of a completed run."""
@@ -47,16 +52,11 @@
         self._upstream_log_ratios = {
             name: value for name, value in self._upstream_log_ratios.items() if name in upstreams
         }
-        self._find_fastest()
+        self._sorted_log_ratios = sorted(self._upstream_log_ratios.values())
 
     def _set_log_ratio(self, upstream: str, log_ratio: float) -> None:
+        known = self._upstream_log_ratios.get(upstream)
+        if known is not None:
+            del self._sorted_log_ratios[bisect_left(self._sorted_log_ratios, known)]
         self._upstream_log_ratios[upstream] = log_ratio
-        fastest_log_ratio = self._upstream_log_ratios.get(self._fastest, math.inf)
-        if upstream == self._fastest:
-            self._find_fastest()
-        elif log_ratio < fastest_log_ratio:
-            self._fastest = upstream
-
-    def _find_fastest(self) -> None:
-        ratios = self._upstream_log_ratios
-        self._fastest = min(ratios, key=ratios.__getitem__, default="")
+        insort(self._sorted_log_ratios, log_ratio)
--- a/packages/placement/src/fireflybridge_placement/_order.py
+++ b/packages/placement/src/fireflybridge_placement/_order.py
@@ -17,18 +17,18 @@
 
 
 def compute_latest_start(
-    job: Job, received_s: float, critical_path_ms: float, highest_speed: float = 1.0
+    job: Job, received_s: float, critical_path_ms: float, fast_speed: float = 1.0
 ) -> float:
     """Return the latest start that meets the objective, or the deadline if that comes first.
 
     The job with the smallest is placed first. Keeps short jobs from waiting behind long ones at
     peak load: a job of short tasks has little slack and precedes a job of long tasks that was
-    received slightly earlier. A job whose deadline comes before its objective is due when the
-    fastest upstream, of ``highest_speed``, can just meet the deadline.
+    received slightly earlier. A job whose deadline comes before its objective is due when a fast
+    upstream, of ``fast_speed``, can just meet the deadline.
     """
     objective_slack_ms = compute_objective_ms(job, critical_path_ms) - critical_path_ms
     deadline_ms = min(job.wait_ms, job.policy.timeout_ms)
-    deadline_slack_ms = deadline_ms - critical_path_ms / highest_speed
+    deadline_slack_ms = deadline_ms - critical_path_ms / fast_speed
     return received_s + min(objective_slack_ms, deadline_slack_ms) / 1000
 
 
