Wait for the next release of a job that is held back, not for an earlier one

Found when the change was read again: a job that is held back and cleared set its event of release, so that it may be refused. If another leader then got a new term, the job's wait for its clearance returned at once, over and over, until its deadline: the event stayed set. The wait uses the project's Notifier, which knows no earlier release, so the queue needs no wrapper that renews an event, and a job makes no event that nobody waits for.

--- a/features/silent_leaders.feature
+++ b/features/silent_leaders.feature
@@ -60,3 +60,8 @@
     # Guards against messages in a tight loop to a leader whose replies leave a job out.
     When a leader asks another one about a job, and the replies don't mention it
     Then the other leader gets at most 20 messages in 0.5 s
+
+  Scenario: A job that has lost its clearance waits without spinning
+    # Guards against a wait that ends at once again and again, since the job was cleared before.
+    When a waiting job whose sender is silent is cleared, and then another leader gets a new term
+    Then its clearance is looked at no more than 200 times in 0.5 s
--- a/features/steps/silent_leaders.py
+++ b/features/steps/silent_leaders.py
@@ -2,6 +2,7 @@
 
 import time
 from dataclasses import replace
+from unittest import mock
 
 import anyio
 from anyio.abc import TaskGroup
@@ -19,7 +20,7 @@
 from support.shared_leaders import has_run
 from support.upstreams import describe_upstreams, make_long_job, read_once, wait_until
 
-from fireflybridge_clearances import JobClearances, LeaderReport
+from fireflybridge_clearances import JobClearances, LeaderReport, NotHeld
 from fireflybridge_entry._question_codec import decode_question
 from fireflybridge_execution import Scheduler
 from fireflybridge_execution._command_sender import COMMAND_CONNECTIONS
@@ -315,3 +316,45 @@
 @then("the other leader gets at most {limit:d} messages in 0.5 s")
 def check_messages(context: Context, limit: int) -> None:
     assert context.messages <= limit, context.messages
+
+
+SOON_REFUSED_MS = 1000.0
+
+
+@when("a waiting job whose sender is silent is cleared, and then another leader gets a new term")
+def lose_clearance(context: Context) -> None:
+    terms = [Term("z1", OWN, FIRST), Term("z2", OTHER, FIRST)]
+    clearances = JobClearances(OWN, lambda: terms)
+    step = replace(JOB.steps[0], estimate_ms=SOON_REFUSED_MS)
+    job = replace(JOB, steps=(step,))
+    sender = JobSender("silent", still_waits=lambda: False)
+    infos = describe_upstreams(1)
+    network = LeasedNetwork("own", {name: LeasedUpstream(name) for name in infos})
+
+    async def run() -> None:
+        scheduler = Scheduler(
+            network, lambda _event: None, lambda: None, PauseMonitor(), None, clearances
+        )
+        async with anyio.create_task_group() as group:
+            group.start_soon(scheduler.serve)
+            scheduler.lead({"z1": FIRST})
+            scheduler.set_upstreams(read_once(infos))
+            await wait_until(lambda: scheduler.can_start_tasks)
+            group.start_soon(scheduler.submit, job, 0.0, None, sender)
+            await anyio.sleep(0.05)
+            free = LeaderReport(OTHER, {"z2": FIRST}, frozenset(), {job.id: NotHeld()})
+            scheduler.apply_report(free, time.monotonic())
+            await anyio.sleep(0.05)
+            terms[1] = Term("z2", OTHER, SECOND)
+            await anyio.sleep(SETTLED_S)
+            with mock.patch.object(clearances, "is_cleared", wraps=clearances.is_cleared) as looks:
+                await anyio.sleep(OBSERVED_S)
+            context.looks = looks.call_count
+            group.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+@then("its clearance is looked at no more than {limit:d} times in 0.5 s")
+def check_looks(context: Context, limit: int) -> None:
+    assert context.looks <= limit, context.looks
--- a/packages/execution/src/fireflybridge_execution/_active_job.py
+++ b/packages/execution/src/fireflybridge_execution/_active_job.py
@@ -9,6 +9,7 @@
 import anyio
 
 from fireflybridge_jobs import Answer, EarlierRuns, Job, JobSender, Step, Succeeded, TaskId
+from fireflybridge_leadership import Notifier
 from fireflybridge_placement import compute_critical_path_ms
 
 
@@ -53,8 +54,8 @@
         self.answer: Answer | None = None
         self.placed_or_answered = anyio.Event()
         self.answered = anyio.Event()
-        self.released = anyio.Event()
-        """Set when the job is held back no longer."""
+        self.released = Notifier()
+        """Notified when the job is held back no longer, or may be refused although it is."""
         self._run_numbers: dict[TaskId, int] = {}
         self._failures: dict[TaskId, tuple[str, ...]] = {}
         self._moves: dict[TaskId, tuple[str, ...]] = {}
--- a/packages/execution/src/fireflybridge_execution/_queue.py
+++ b/packages/execution/src/fireflybridge_execution/_queue.py
@@ -61,11 +61,7 @@
             return
         del self._held[active.job.id]
         insort(self._sorted_jobs, (self._jobs[active.job.id][0], active.job.id))
-        active.released.set()
-
-    def is_held(self, active: ActiveJob) -> bool:
-        """Return whether a job is held back."""
-        return active.job.id in self._held
+        active.released.notify()
 
     def list_ready(self, start: int, count: int) -> list[ActiveJob]:
         """Return up to ``count`` of the jobs that may start, from a position on."""
--- a/packages/execution/src/fireflybridge_execution/_scheduler.py
+++ b/packages/execution/src/fireflybridge_execution/_scheduler.py
@@ -265,9 +265,8 @@
             and not active.placed_or_answered.is_set()
             and time.monotonic() < active.deadline_s
         ):
-            self._hold(active)
-            with anyio.move_on_after(active.deadline_s - time.monotonic()):
-                await active.released.wait()
+            self._queue.hold(active)
+            await active.released.wait(active.deadline_s - time.monotonic())
 
     def _end_job(self, active: ActiveJob) -> None:
         if self._jobs.get(active.job.id) is not active:
--- a/packages/execution/src/fireflybridge_execution/_waiting_jobs.py
+++ b/packages/execution/src/fireflybridge_execution/_waiting_jobs.py
@@ -3,8 +3,6 @@
 import time
 from collections.abc import Callable
 
-import anyio
-
 from fireflybridge_clearances import JobClearances
 from fireflybridge_execution._active_job import ActiveJob
 from fireflybridge_execution._commands import CommandConnector
@@ -77,7 +75,7 @@
                 self._drop(active)
                 continue
             if not self._may_start(active, now_s):
-                self._hold(active)
+                self._queue.hold(active)
                 continue
             self._place_job(active, now_s)
             if active.waiting and active.answer is None:
@@ -85,12 +83,6 @@
             else:
                 self._drop(active)
 
-    def _hold(self, active: ActiveJob) -> None:
-        """Hold a waiting job back that may not start yet."""
-        if not self._queue.is_held(active):
-            active.released = anyio.Event()
-        self._queue.hold(active)
-
     def _drop(self, active: ActiveJob) -> None:
         """Remove a job from those that wait, if it does."""
         self._queue.remove(active)
@@ -145,7 +137,7 @@
                 self._abandon(active, "its earlier runs can't be ruled out in time")
             else:
                 if self._clearances.is_cleared(active.job.id):
-                    active.released.set()  # it may be refused for another reason
+                    active.released.notify()  # it may be refused for another reason
                 self._queue.hold(active)
 
     def _is_left(self, active: ActiveJob) -> bool:
