Write the pieces that stood twice once

- WaitingJobs had a third copy of the scheduler's constructor for two fields: they stand with the queue in JobRuns.
- bench/waiting.py had a copy of the command line of bench/placement.py: both use bench/comparison.py.
- The time for which a leader knows results stood in the ledger and in RecentAnswers: RESULT_RETENTION_S is the one place.
- OtherLeader.note_reply asked again, and note_reply_to_question noted contact: they are named so.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -1,14 +1,10 @@
 """Measure the processor time of a leader's decisions as the number of its upstreams grows."""
 
-import argparse
-import os
-import subprocess
-import sys
 import time
 from collections.abc import Callable
-from pathlib import Path
 
 import anyio
+from comparison import run_measurement
 
 from fireflybridge_execution import (
     Accepted,
@@ -150,23 +146,11 @@
     return (time.process_time() - started) / (JOBS * TASKS_PER_JOB) * MICROSECONDS
 
 
-def main() -> None:
-    """Measure with each number of upstreams, first with the packages of the baseline if given."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--baseline", type=Path, help="root of a checkout to compare with")
-    parser.add_argument("--child", action="store_true", help=argparse.SUPPRESS)
-    options = parser.parse_args()
-    if options.child or not options.baseline:
-        for count in UPSTREAM_COUNTS:
-            anyio.run(measure, count, backend_options={"use_uvloop": True})
-        return
-    packages = options.baseline.resolve() / "packages"
-    path = os.pathsep.join(str(packages / name / "src") for name in SOURCE_PACKAGES)
-    for name, source in (("baseline", path), ("this checkout", "")):
-        print(name, flush=True)
-        environment = {**os.environ, "PYTHONPATH": source}
-        subprocess.run([sys.executable, __file__, "--child"], env=environment, check=True)
+def measure_all() -> None:
+    """Measure with each number of upstreams."""
+    for count in UPSTREAM_COUNTS:
+        anyio.run(measure, count, backend_options={"use_uvloop": True})
 
 
 if __name__ == "__main__":
-    main()
+    run_measurement(__file__, __doc__, SOURCE_PACKAGES, measure_all)
--- a/bench/waiting.py
+++ b/bench/waiting.py
@@ -1,13 +1,9 @@
 """Measure what events cost a leader, in processor time, as the number of its waiting jobs grows."""
 
-import argparse
-import os
-import subprocess
-import sys
 import time
-from pathlib import Path
 
 import anyio
+from comparison import run_measurement
 from placement import InMemoryConnector, describe_upstreams, make_job
 
 from fireflybridge_clearances import JobClearances
@@ -65,23 +61,11 @@
         group.cancel_scope.cancel()
 
 
-def main() -> None:
-    """Measure with each number of jobs, first with the packages of the baseline if given."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--baseline", type=Path, help="root of a checkout to compare with")
-    parser.add_argument("--child", action="store_true", help=argparse.SUPPRESS)
-    options = parser.parse_args()
-    if options.child or not options.baseline:
-        for count in WAITING_COUNTS:
-            anyio.run(measure, count, backend_options={"use_uvloop": True})
-        return
-    packages = options.baseline.resolve() / "packages"
-    path = os.pathsep.join(str(packages / name / "src") for name in SOURCE_PACKAGES)
-    for name, source in (("baseline", path), ("this checkout", "")):
-        print(name, flush=True)
-        environment = {**os.environ, "PYTHONPATH": source}
-        subprocess.run([sys.executable, __file__, "--child"], env=environment, check=True)
+def measure_all() -> None:
+    """Measure with each number of waiting jobs."""
+    for count in WAITING_COUNTS:
+        anyio.run(measure, count, backend_options={"use_uvloop": True})
 
 
 if __name__ == "__main__":
-    main()
+    run_measurement(__file__, __doc__, SOURCE_PACKAGES, measure_all)
--- a/features/steps/event_cost.py
+++ b/features/steps/event_cost.py
@@ -8,15 +8,13 @@
 import anyio
 from behave import given, then, when
 from behave.runner import Context
-from support.upstreams import make_long_job, wait_until
+from support.upstreams import EndlessConnector, make_long_job, wait_until
 
 from fireflybridge_clearances import JobClearances, LeaderReport, NotHeld
-from fireflybridge_execution import Accepted, DirectoryView, Hold, Scheduler, Start, Stop
+from fireflybridge_execution import DirectoryView, Scheduler
 from fireflybridge_jobs import (
     Job,
     Resources,
-    RunningRun,
-    RunReport,
     UpstreamInfo,
     UpstreamState,
 )
@@ -31,43 +29,6 @@
 REPEATS = 20
 
 
-class FullUpstream:
-    """An upstream that runs what it is given, and on which nothing ends."""
-
-    incarnation = 1
-
-    def __init__(self) -> None:
-        self._running: list[RunningRun] = []
-
-    async def start(self, command: Start, timeout_s: float) -> Accepted:
-        """Start a run."""
-        self._running.append(RunningRun(command.task, command.number, 50))
-        return Accepted(1000.0)
-
-    async def stop(self, command: Stop, timeout_s: float) -> Accepted:
-        """Stop nothing."""
-        return Accepted(1000.0)
-
-    async def hold(self, command: Hold, timeout_s: float) -> RunReport:
-        """Return the runs after the wait."""
-        await anyio.sleep(command.wait_ms / 1000)
-        return RunReport(1000.0, 1, tuple(self._running), ())
-
-    async def close(self) -> None:
-        """Do nothing, as there is no connection."""
-
-
-class FullNetwork:
-    """Connect to full upstreams by id."""
-
-    def __init__(self) -> None:
-        self._upstreams: dict[str, FullUpstream] = {}
-
-    def open(self, upstream: UpstreamInfo) -> FullUpstream:
-        """Return the upstream itself, which also serves as its connection."""
-        return self._upstreams.setdefault(upstream.id, FullUpstream())
-
-
 def count_calls(act: Callable[[], object]) -> int:
     """Return how many functions an action calls."""
     calls = 0
@@ -118,7 +79,7 @@
     """Return the calls of an event at a leader with so many waiting jobs."""
     clearances = JobClearances(OWN, lambda: TERMS)
     scheduler = Scheduler(
-        FullNetwork(), lambda _event: None, lambda: None, PauseMonitor(), None, clearances
+        EndlessConnector(), lambda _event: None, lambda: None, PauseMonitor(), None, clearances
     )
     async with anyio.create_task_group() as group:
         group.start_soon(scheduler.serve)
--- a/packages/clearances/src/fireflybridge_clearances/__init__.py
+++ b/packages/clearances/src/fireflybridge_clearances/__init__.py
@@ -9,11 +9,12 @@
     MayRun,
     NotHeld,
 )
-from fireflybridge_clearances._job_clearances import JobClearances
+from fireflybridge_clearances._job_clearances import RESULT_RETENTION_S, JobClearances
 from fireflybridge_clearances._ledger import LedgerPart
 from fireflybridge_clearances._other_leader import UNREACHABLE_S
 
 __all__ = [
+    "RESULT_RETENTION_S",
     "UNREACHABLE_S",
     "Answered",
     "Held",
--- a/packages/clearances/src/fireflybridge_clearances/_job_clearances.py
+++ b/packages/clearances/src/fireflybridge_clearances/_job_clearances.py
@@ -282,7 +282,7 @@
         if all(_covers(clearance, term) for term in self.leaders.terms if term.holder == holder):
             leader.settle(job)
         else:
-            leader.note_reply(job)
+            leader.ask_again(job)
 
     def _concerns(self, report: LeaderReport, job: str, asked_s: float) -> bool:
         clearance = self._jobs.get(job)
--- a/packages/clearances/src/fireflybridge_clearances/_other_leader.py
+++ b/packages/clearances/src/fireflybridge_clearances/_other_leader.py
@@ -34,8 +34,8 @@
         since_s = self.silent_since_s
         return since_s is not None and time.monotonic() >= since_s + UNREACHABLE_S
 
-    def note_reply_to_question(self) -> None:
-        """Note that it has replied to the last question."""
+    def note_contact(self) -> None:
+        """Note that it can be reached."""
         self.silent_since_s = self.waiting_since_s = None
 
     @property
@@ -66,9 +66,9 @@
         """Note that it has replied to questions; those jobs that it hasn't cleared are asked again."""
         for job in jobs:
             if job in self._new:
-                self.note_reply(job)
+                self.ask_again(job)
 
-    def note_reply(self, job: str) -> None:
-        """Note that it hasn't cleared a job, so that it is asked again."""
+    def ask_again(self, job: str) -> None:
+        """Ask about a job that it hasn't cleared once more."""
         self.settle(job)
         self._open[job] = None
--- a/packages/clearances/src/fireflybridge_clearances/_other_leaders.py
+++ b/packages/clearances/src/fireflybridge_clearances/_other_leaders.py
@@ -121,7 +121,7 @@
         """Note that another leader can be reached."""
         found = self._leaders.get(holder)
         if found is not None:
-            found.note_reply_to_question()
+            found.note_contact()
 
     def note_report(self, holder: Holder, terms: Iterable[Term], asked_s: float) -> None:
         """Note that a leader has told, under terms, all jobs that it had taken until then."""
@@ -135,7 +135,7 @@
         """Note that this host asks no other leader any more, so that silence means nothing."""
         self._unheard_since_s.clear()
         for leader in self:
-            leader.note_reply_to_question()
+            leader.note_contact()
 
     def is_silent(self, holder: Holder) -> bool:
         """Return whether another leader has not replied to the last question."""
--- a/packages/execution/src/fireflybridge_execution/_job_runs.py
+++ b/packages/execution/src/fireflybridge_execution/_job_runs.py
@@ -19,6 +19,7 @@
     UpstreamEjected,
     UpstreamSynced,
 )
+from fireflybridge_execution._load_meter import LoadMeter
 from fireflybridge_execution._placer import Placer
 from fireflybridge_execution._queue import JobQueue
 from fireflybridge_execution._recent_ends import RecentEnds
@@ -69,6 +70,9 @@
         self._placer = Placer(self._sessions, self._crashes)
         self._queue = JobQueue()
         self._reviews = Reviews()
+        self._reviewed_s = time.monotonic()
+        """When the waiting jobs were last looked at."""
+        self._load = LoadMeter()
         self._jobs: dict[str, ActiveJob] = {}
         self._recent_ends = RecentEnds()
 
--- a/packages/execution/src/fireflybridge_execution/_recent_answers.py
+++ b/packages/execution/src/fireflybridge_execution/_recent_answers.py
@@ -2,7 +2,7 @@
 
 import time
 
-from fireflybridge_execution._recent_jobs import RETENTION_S
+from fireflybridge_clearances import RESULT_RETENTION_S
 from fireflybridge_jobs import Answer, Failed, Succeeded
 
 
@@ -15,7 +15,7 @@
     def record(self, job: str, answer: Answer) -> None:
         """Record the answer to a job if it is the job's result."""
         now_s = time.monotonic()
-        while self._answers and next(iter(self._answers.values()))[0] < now_s - RETENTION_S:
+        while self._answers and next(iter(self._answers.values()))[0] < now_s - RESULT_RETENTION_S:
             del self._answers[next(iter(self._answers))]
         if isinstance(answer, Succeeded | Failed):
             self._answers.pop(job, None)
@@ -24,4 +24,6 @@
     def find(self, job: str) -> Succeeded | Failed | None:
         """Return the result of a job that has ended lately."""
         found = self._answers.get(job)
-        return None if found is None or found[0] < time.monotonic() - RETENTION_S else found[1]
+        return (
+            None if found is None or found[0] < time.monotonic() - RESULT_RETENTION_S else found[1]
+        )
--- a/packages/execution/src/fireflybridge_execution/_waiting_jobs.py
+++ b/packages/execution/src/fireflybridge_execution/_waiting_jobs.py
@@ -1,17 +1,12 @@
 """Waiting jobs of a leader: which of them start now, which are held back, and which are refused."""
 
 import time
-from collections.abc import Callable
 
-from fireflybridge_clearances import JobClearances
 from fireflybridge_execution._active_job import ActiveJob
-from fireflybridge_execution._commands import CommandConnector
-from fireflybridge_execution._events import ExecutionEvent, TasksPlaced, UnexpectedError
+from fireflybridge_execution._events import TasksPlaced, UnexpectedError
 from fireflybridge_execution._job_runs import JobRuns
-from fireflybridge_execution._load_meter import LoadMeter
 from fireflybridge_jobs import Answer, Moved, NotRun, RefusalReason, TimedOut
-from fireflybridge_pauses import PauseMonitor
-from fireflybridge_placement import RETRY_AFTER_S, CrashHistory
+from fireflybridge_placement import RETRY_AFTER_S
 
 HELD_REVIEW_S = 0.1
 MAX_BACKFILL_ATTEMPTS = 8  # a placement pass ends after this many jobs that don't fit
@@ -24,20 +19,6 @@
     The work for an event doesn't depend on how many jobs wait.
     """
 
-    def __init__(
-        self,
-        connector: CommandConnector,
-        on_event: Callable[[ExecutionEvent], None],
-        on_superseded: Callable[[], None],
-        pauses: PauseMonitor,
-        crashes: CrashHistory | None = None,
-        clearances: JobClearances | None = None,
-    ) -> None:
-        """Set the callbacks; without ``clearances`` there is no other leader."""
-        super().__init__(connector, on_event, on_superseded, pauses, crashes, clearances)
-        self._load = LoadMeter()
-        self._reviewed_s = time.monotonic()
-
     @property
     def has_synced_upstream(self) -> bool:
         """Return whether any upstream has listed its runs."""
