--- a/review/lib2/deployment.py
+++ b/review/lib2/deployment.py
@@ -49,23 +49,15 @@
 }
 
 
-class CannotRun(Exception):
+class CaseError(Exception):
     """The deployment could not be started, so the case says nothing."""
 
 
 class Deployment:
     """Own the stand-ins and the processes of the hosts."""
 
-    def __init__(
-        self,
-        zones: tuple[str, ...],
-        hosts_per_zone: int,
-        workers_per_zone: int,
-        max_fds: int = MAX_FDS,
-    ) -> None:
-        """Plan the deployment; ``max_fds`` is the limit of descriptors of a host's machine."""
+    def __init__(self, zones: tuple[str, ...], hosts_per_zone: int, workers_per_zone: int) -> None:
         self.record = Record()
-        self._max_fds = max_fds
         self.zones = zones
         self._network = _choose_network()
         self.store = Store(f"{self._network}.1")
@@ -132,7 +124,7 @@
                 command, cwd=ROOT, env=environment, stdout=log, stderr=log
             )
         # The platform keeps a process to the limit in its settings.
-        limits = (self._max_fds, self._max_fds)
+        limits = (MAX_FDS, MAX_FDS)
         resource.prlimit(self.processes[host].pid, resource.RLIMIT_NOFILE, limits)
         self.record.note("host started", host=host)
 
@@ -160,7 +152,7 @@
             "limits.cpu_share=0.537",
             "limits.cores=2",
             "limits.memory_mb=300",
-            f"limits.max_fds={self._max_fds}",
+            f"limits.max_fds={MAX_FDS}",
             "heartbeat_ms=1500",
             "orders=call",
             f"platform.addr={self.store.server.address}",
@@ -257,12 +249,12 @@
 
 
 async def wait_until(check: Callable[[], Awaitable[bool]], timeout_s: float) -> None:
-    """Wait until a check holds; raise ``CannotRun`` if it doesn't in time."""
+    """Wait until a check holds; raise ``CaseError`` if it doesn't in time."""
     loop = asyncio.get_running_loop()
     end_s = loop.time() + timeout_s
     while not await check():
         if loop.time() > end_s:
-            raise CannotRun(f"{check.__name__} doesn't hold after {timeout_s} s")
+            raise CaseError(f"{check.__name__} doesn't hold after {timeout_s} s")
         await asyncio.sleep(0.1)
 
 
@@ -285,6 +277,6 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
         return asyncio.run(asyncio.wait_for(play(folder, trouble), limit_s))
-    except (CannotRun, TimeoutError, OSError) as error:
+    except (CaseError, TimeoutError, OSError) as error:
         print(f"the case could not run: {error!r}", file=sys.stderr)
         return 2
--- a/review/lib2/store.py
+++ b/review/lib2/store.py
@@ -4,6 +4,7 @@
 import base64
 import json
 import struct
+from contextlib import suppress
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -78,10 +79,8 @@
         start = int(request.query["from"])
         wait_s = min(int(request.query.get("wait_ms", 0)) / 1000, MAX_WAIT_S)
         if len(topic.records) <= start and wait_s:
-            try:
+            with suppress(TimeoutError):
                 await asyncio.wait_for(topic.changed.wait(), wait_s)
-            except TimeoutError:
-                pass
         limit = int(request.query.get("max_kb", 1024)) * 1024
         body = struct.pack(">QQ", len(topic.records), 0)
         for content in topic.records[start:]:
--- a/review/lib2/worker.py
+++ b/review/lib2/worker.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import time
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import Any
 
@@ -41,8 +42,6 @@
         self.service = service
         self.labels = ["a", f"r-{zone}"]
         self.cpu = 16000
-        self.needs: dict[str, int] = {}
-        """The processor share of each job's tasks, which a start doesn't name."""
         self._store = store
         self._record = record
         self.server = HttpServer(ip, 0, self._handle)
@@ -169,10 +168,8 @@
             self._extend(message["deadline_ms"])
         wait_s = min(message.get("wait_ms", 0), 2000) / 1000
         if not self.ended and wait_s:
-            try:
+            with suppress(TimeoutError):
                 await asyncio.wait_for(self._run_ended.wait(), wait_s)
-            except TimeoutError:
-                pass
         now_s = time.monotonic()
         running = [
             [run.task, run.number, "", min(int((now_s - run.started_s) / run.work_s * 100), 99), 0]
