--- a/review/lib2/deployment.py
+++ b/review/lib2/deployment.py
@@ -180,12 +180,7 @@
         value = self.store.find("keyed.leaders").newest[zone][1]
         return str(json.loads(value)["host"])
 
-    def read_log(self, host: str) -> list[dict[str, Any]]:
-        """Return the log lines of a host that are JSON objects."""
-        lines = Path(self._folder.name, f"{host}.log").read_text(errors="replace").splitlines()
-        return [json.loads(line) for line in lines if line.startswith("{")]
-
-    def read_plain_log(self, host: str) -> str:
+    def read_log(self, host: str) -> str:
         """Return what a host has written."""
         return Path(self._folder.name, f"{host}.log").read_text(errors="replace")
 
