--- a/review/lib2/deployment.py
+++ b/review/lib2/deployment.py
@@ -4,7 +4,6 @@
 import json
 import os
 import random
-import resource
 import shlex
 import signal
 import socket
@@ -31,7 +30,9 @@
 FIRST_PORT = 7720
 DEADLINE_MS = 1500
 READY_TIMEOUT_S = 30.0
-MAX_FDS = 4100
+METRICS_PORT = 9464
+HOST_PORTS = (FRONT_PORT, READY_PORT, FIRST_PORT, METRICS_PORT)
+NETWORK_TRIES = 50
 BOUNDS = {
     "contact_ms": 3000,
     "ack_ms": 4000,
@@ -123,9 +124,6 @@
             self.processes[host] = subprocess.Popen(
                 command, cwd=ROOT, env=environment, stdout=log, stderr=log
             )
-        # The platform keeps a process to the limit in its settings.
-        limits = (MAX_FDS, MAX_FDS)
-        resource.prlimit(self.processes[host].pid, resource.RLIMIT_NOFILE, limits)
         self.record.note("host started", host=host)
 
     def find_own_end(self, host: str) -> int | None:
@@ -152,7 +150,7 @@
             "limits.cpu_share=0.537",
             "limits.cores=2",
             "limits.memory_mb=300",
-            f"limits.max_fds={MAX_FDS}",
+            "limits.max_fds=4100",
             "heartbeat_ms=1500",
             "orders=call",
             f"platform.addr={self.store.server.address}",
@@ -254,24 +252,41 @@
 
 
 def _choose_network() -> str:
-    """Return the first three parts of loopback addresses that nobody listens on."""
-    while True:
+    """Return the first three parts of loopback addresses on which the hosts' ports are free."""
+    for _ in range(NETWORK_TRIES):
         network = f"127.{random.randint(1, 250)}.{random.randint(1, 250)}"
-        with socket.socket() as probe:
-            try:
-                probe.bind((f"{network}.10", FRONT_PORT))
-            except OSError:
-                continue
+        if all(_is_free(f"{network}.10", port) for port in HOST_PORTS):
             return network
+    raise CaseError(f"the ports {HOST_PORTS} are in use on all addresses that were tried")
+
+
+def _is_free(ip: str, port: int) -> bool:
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((ip, port))
+        except OSError:
+            return False
+        return True
 
 
 def run_case(
     play: Callable[[Path, bool], Awaitable[int]], folder: Path, limit_s: float = 110.0
 ) -> int:
-    """Run a case with or without its disruption, and return the exit code of the script."""
+    """Run a case with or without its disruption, and return the exit code of the script.
+
+    Whatever keeps the case from its end, SIGTERM included, gives 2, and ends the processes.
+    """
     trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
-        return asyncio.run(asyncio.wait_for(play(folder, trouble), limit_s))
-    except (CaseError, TimeoutError, OSError) as error:
+        return asyncio.run(_play_until_stopped(play(folder, trouble), limit_s))
+    except (Exception, asyncio.CancelledError) as error:
         print(f"the case could not run: {error!r}", file=sys.stderr)
         return 2
+
+
+async def _play_until_stopped(case: Awaitable[int], limit_s: float) -> int:
+    task = asyncio.ensure_future(case)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+    return await asyncio.wait_for(task, limit_s)
