--- a/review/lib2/deployment.py
+++ b/review/lib2/deployment.py
@@ -77,6 +77,10 @@
         """Return the address of a host's machine."""
         return f"{self._network}.{10 + self.hosts.index(host)}"
 
+    def find_store_address(self, _host: str) -> str:
+        """Return the address at which a host's machine reaches the store."""
+        return self.store.server.address
+
     async def start(self, **route: Any) -> None:
         """Start everything, and return once every host is ready."""
         await self.store.server.start()
@@ -153,7 +157,7 @@
             "limits.max_fds=4100",
             "heartbeat_ms=1500",
             "orders=call",
-            f"platform.addr={self.store.server.address}",
+            f"platform.addr={self.find_store_address(host)}",
             "platform.form=log",
             *(f"bounds.{name}={value}" for name, value in BOUNDS.items()),
         ]
--- a/review/lib2/store.py
+++ b/review/lib2/store.py
@@ -41,7 +41,7 @@
 
     def __init__(self, ip: str) -> None:
         self.topics: dict[str, Topic] = {}
-        self.server = HttpServer(ip, 0, self._handle)
+        self.server = HttpServer(ip, 0, self.handle)
 
     def find(self, name: str) -> Topic:
         """Return a topic, which is created on first use."""
@@ -52,7 +52,8 @@
         encoded = b"" if value is None else json.dumps(value).encode()
         self.find(topic).append(bytes([len(key)]) + key.encode() + encoded)
 
-    async def _handle(self, request: Request) -> Response:
+    async def handle(self, request: Request) -> Response:
+        """Serve one call."""
         topic = self.find(request.query["topic"])
         match request.path:
             case "/fireflybridge/log-append":
