--- a/review/lib2/worker.py
+++ b/review/lib2/worker.py
@@ -4,7 +4,7 @@
 import json
 import time
 from contextlib import suppress
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 from lib2.record import Record
@@ -31,6 +31,7 @@
     started_s: float
     job: asyncio.Task[None] | None = None
     stopping: bool = False
+    stopped: asyncio.Event = field(default_factory=asyncio.Event)
 
 
 class Worker:
@@ -157,8 +158,7 @@
         run = self.runs.get(key)
         if run is not None and not run.stopping:
             run.stopping = True
-            assert run.job is not None
-            run.job.cancel()
+            run.stopped.set()
         return make_json(ACCEPTED, {"clock_ms": self.clock_ms})
 
     async def _hold(self, message: dict[str, Any]) -> Response:
@@ -184,19 +184,16 @@
         self.lease_end_ms = max(self.lease_end_ms, min(deadline_ms, longest_ms))
 
     async def _work(self, run: Run) -> None:
-        how = "lapsed"
-        try:
-            done_s = run.started_s + run.work_s
-            while time.monotonic() < done_s and self.clock_ms < self.lease_end_ms:
-                left_s = min(done_s - time.monotonic(), (self.lease_end_ms - self.clock_ms) / 1000)
-                await asyncio.sleep(max(left_s, 0.001))
-            how = "done" if time.monotonic() >= done_s else "lapsed"
-        except asyncio.CancelledError:
-            if not run.stopping:
-                raise
+        done_s = run.started_s + run.work_s
+        while not run.stopping and time.monotonic() < done_s and self.clock_ms < self.lease_end_ms:
+            left_s = min(done_s - time.monotonic(), (self.lease_end_ms - self.clock_ms) / 1000)
+            with suppress(TimeoutError):
+                await asyncio.wait_for(run.stopped.wait(), max(left_s, 0.001))
+        if run.stopping:
             await asyncio.sleep(STOP_S)
-            how = "stopped"
-        self._end(run, how)
+            self._end(run, "stopped")
+        else:
+            self._end(run, "done" if time.monotonic() >= done_s else "lapsed")
 
     def _end(self, run: Run, how: str) -> None:
         self.runs.pop((run.task, run.number), None)
